Log the course of each request that ends badly, by its id, and the counts

Now a request that is served late, refused, failed or left by its client leaves one line with its id, class, retry mark, time since arrival, time given, and each attempt with its server, start, ending and length. What is no request of the protocol's is counted as rejected and logged with its id, peer and reason. The counts, with the attempts by ending, go to the log every 5 s.

Lines stay bounded (5 a second, 50 saved up) and what the bound leaves out is counted. A request that ends well writes nothing.

--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -695,3 +695,33 @@
 		}
 	}
 }
+
+// The log tells the whole course of a request that ended badly, by its id.
+func TestCourseOfABadRequestIsLogged(t *testing.T) {
+	a, b := one(t, func(c net.Conn, _ *http.Request, _ int) bool { return send(c, 500, "", "") })
+	lines := a.logged(t)
+	req := newRequest(a.addr, "order", "x")
+	req.Header.Set("Request-Id", "c0ffee")
+	status, _, _ := a.ask(req)
+	wantStatus(t, status, 502)
+	text := waitLine(t, lines, "c0ffee")
+	for _, want := range []string{"request failed", "class=order", "[s-1 at ", "ended 301 after "} {
+		if !strings.Contains(text, want) {
+			t.Errorf("line %q lacks %q", text, want)
+		}
+	}
+	req = newRequest(a.addr, "order", "x")
+	req.Header.Set("Request-Id", "decaf")
+	req.Header.Set("Request-Class", "nobody's")
+	status, _, _ = a.ask(req)
+	wantStatus(t, status, 400)
+	if text := waitLine(t, lines, "decaf"); !strings.Contains(text, "unknown Request-Class") {
+		t.Errorf("line %q does not say why", text)
+	}
+	if f := a.figures(); f.rejected != 1 || f.failed != 1 || f.ends[policy.Error] != 1 {
+		t.Errorf("figures %+v", f)
+	}
+	if b.count() != 1 {
+		t.Errorf("%d arrivals, want 1", b.count())
+	}
+}
--- a/internal/agent/backend.go
+++ b/internal/agent/backend.go
@@ -304,6 +304,13 @@
 	p.mu.Unlock()
 }
 
+// size is the number of connections that are open or being opened.
+func (p *pool) size() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.open
+}
+
 // hangUp closes the idle connections to an address.
 func (p *pool) hangUp(addr string) {
 	p.mu.Lock()
--- a/internal/agent/fakes_test.go
+++ b/internal/agent/fakes_test.go
@@ -6,6 +6,8 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"log/slog"
+	"maps"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -319,10 +321,54 @@
 // figures reads the loop's counts, in the loop.
 func (a *testAgent) figures() figures {
 	got := make(chan figures, 1)
-	a.loop.post(func() { got <- a.loop.figures })
+	a.loop.post(func() {
+		f := a.loop.figures
+		f.ends = maps.Clone(f.ends)
+		got <- f
+	})
 	return <-got
 }
 
+// logged makes the agent hand its log lines to the test, as text.
+func (a *testAgent) logged(t *testing.T) <-chan string {
+	t.Helper()
+	lines := make(chan string, 1000)
+	set := make(chan struct{})
+	a.loop.post(func() {
+		a.loop.logger = slog.New(slog.NewTextHandler(lineWriter(lines), nil))
+		close(set)
+	})
+	<-set
+	return lines
+}
+
+// lineWriter sends each line that is written; one too many is left out.
+type lineWriter chan string
+
+func (w lineWriter) Write(line []byte) (int, error) {
+	select {
+	case w <- string(line):
+	default:
+	}
+	return len(line), nil
+}
+
+// waitLine waits for a line that contains text.
+func waitLine(t *testing.T, lines <-chan string, text string) string {
+	t.Helper()
+	over := time.After(patience)
+	for {
+		select {
+		case line := <-lines:
+			if strings.Contains(line, text) {
+				return line
+			}
+		case <-over:
+			t.Fatalf("no line with %q", text)
+		}
+	}
+}
+
 // testClient opens a connection for each request, and so never sends one again.
 var testClient = &http.Client{Timeout: patience, Transport: &http.Transport{DisableKeepAlives: true}}
 
--- a/internal/agent/front.go
+++ b/internal/agent/front.go
@@ -94,6 +94,8 @@
 	}
 	c, status, err := f.read(w, req, time.Now())
 	if err != nil {
+		id, from := req.Header.Get("Request-Id"), req.RemoteAddr
+		f.loop.post(func() { f.loop.rejected(id, from, status, err) })
 		http.Error(w, err.Error(), status)
 		return
 	}
@@ -118,7 +120,7 @@
 	if req.Method != http.MethodGet && req.Method != http.MethodPost {
 		return nil, http.StatusMethodNotAllowed, fmt.Errorf("method %s is not allowed", req.Method)
 	}
-	c := &call{method: req.Method, host: req.Host, url: req.URL, header: h, answer: make(chan answer, 1)}
+	c := &call{id: h.Get("Request-Id"), came: now, method: req.Method, host: req.Host, url: req.URL, header: h, answer: make(chan answer, 1)}
 	var ok bool
 	if c.class, ok = f.classes[h.Get("Request-Class")]; !ok {
 		return bad("unknown Request-Class")
@@ -128,7 +130,7 @@
 			return bad("unknown Tenant")
 		}
 	}
-	if h.Get("Request-Id") == "" {
+	if c.id == "" {
 		return bad("no Request-Id")
 	}
 	if f.cfg.Settings.Classes[c.class].Effect == policy.Guarded && h.Get("Idempotency-Key") == "" {
--- a/internal/agent/loop.go
+++ b/internal/agent/loop.go
@@ -5,10 +5,12 @@
 
 import (
 	"context"
+	"fmt"
 	"hash/fnv"
 	"log/slog"
 	"net/http"
 	"net/url"
+	"strings"
 	"time"
 
 	"golang.org/x/time/rate"
@@ -25,6 +27,8 @@
 	backstopMargin = 4 * time.Millisecond
 	// sweepEvery is how often connections that idle too long are closed.
 	sweepEvery = time.Second
+	// figuresEvery is how often the counts go to the log.
+	figuresEvery = 5 * time.Second
 )
 
 // loop owns the module and all state of requests. One goroutine runs it; all
@@ -37,6 +41,7 @@
 	table    *table
 	pool     *pool
 	disc     *discovery
+	logger   *slog.Logger
 	limit    *rate.Limiter // the log is bounded work on one core
 	lines    chan func()   // log lines on their way to whoever reads the log
 
@@ -55,13 +60,19 @@
 	figures  figures
 }
 
-// figures are counted for the log at the end.
+// figures are counted for the log: every few seconds, and at the end.
 type figures struct {
-	taken, served, refused, failed, gone, backstops, guarded int
+	taken, served, late, refused, failed, gone, rejected, backstops, guarded int
+	// ends counts the attempts by how they ended.
+	ends map[policy.Status]int
+	// unlogged counts the lines that the log's bound left out.
+	unlogged int
 }
 
 // call is a client's request as the front took it, and where its answer goes.
 type call struct {
+	id           string // the client's
+	came         time.Time
 	method, host string
 	url          *url.URL
 	header       http.Header
@@ -108,6 +119,9 @@
 	backend *backend
 	cancel  context.CancelFunc
 	done    bool
+	sent    time.Time
+	end     policy.Status // once it is done
+	tookMs  float64
 }
 
 func newLoop(ctx context.Context, cfg *Config, ready func()) (*loop, error) {
@@ -117,9 +131,9 @@
 	}
 	now := time.Now()
 	l := &loop{cfg: cfg, ctx: ctx, balancer: balancer, table: newTable(cfg.Zones, cfg.Kinds),
-		pool: newPool(cfg), limit: rate.NewLimiter(5, 50), lines: make(chan func(), 64), inbox: make(chan func(), 4096),
+		pool: newPool(cfg), logger: slog.Default(), limit: rate.NewLimiter(5, 50), lines: make(chan func(), 64), inbox: make(chan func(), 4096),
 		started: now, baseMs: float64(now.UnixMicro()) / 1000,
-		requests: map[policy.RequestID]*request{}, ready: ready}
+		requests: map[policy.RequestID]*request{}, ready: ready, figures: figures{ends: map[policy.Status]int{}}}
 	l.disc = newDiscovery(cfg.Discovery, func(list *List, watch bool, err error) {
 		l.post(func() { l.onList(list, watch, err) })
 	})
@@ -146,6 +160,8 @@
 	}
 	sweep := time.NewTicker(sweepEvery)
 	defer sweep.Stop()
+	count := time.NewTicker(figuresEvery)
+	defer count.Stop()
 	for {
 		select {
 		case f := <-l.inbox:
@@ -153,6 +169,8 @@
 			l.drain()
 		case <-sweep.C:
 			l.pool.sweep()
+		case <-count.C:
+			l.logFigures()
 		case <-l.ctx.Done():
 			return
 		}
@@ -261,7 +279,7 @@
 		return
 	}
 	l.figures.backstops++
-	l.log(slog.LevelWarn, "backstop ended a request", "attempts", len(r.attempts), "out", r.out,
+	l.log(slog.LevelWarn, "backstop ended a request", "id", r.call.id, "attempts", len(r.attempts), "out", r.out,
 		"late_ms", float64(time.Since(r.call.deadline.Add(-backstopMargin)).Microseconds())/1000)
 	l.finish(r, answer{verdict: failed, late: true})
 	l.abandon(r)
@@ -273,6 +291,7 @@
 		return
 	}
 	l.figures.gone++
+	l.course(r, "client left")
 	l.close(r)
 	l.abandon(r)
 }
@@ -292,7 +311,7 @@
 func (l *loop) refuse(r *request, afterMs float64) {
 	c := &l.cfg.Settings.Classes[r.call.class]
 	if r.mayRun > 0 && (c.Effect == policy.SingleShot || c.Effect == policy.Guarded && c.Group != policy.GroupAll) {
-		l.guard("refusal after an attempt that may have run")
+		l.guard("refusal after an attempt that may have run", "id", r.call.id)
 		l.finish(r, answer{verdict: failed})
 		return
 	}
@@ -304,13 +323,19 @@
 	if r.answered {
 		return
 	}
-	switch a.verdict {
-	case served:
+	aim := ms(l.cfg.Settings.Classes[r.call.class].AimMs)
+	switch {
+	case a.verdict == served && time.Since(r.call.came) <= aim:
 		l.figures.served++
-	case refused:
+	case a.verdict == served:
+		l.figures.late++
+		l.course(r, "served late")
+	case a.verdict == refused:
 		l.figures.refused++
-	case failed:
+		l.course(r, "refused")
+	case a.verdict == failed:
 		l.figures.failed++
+		l.course(r, "failed")
 	}
 	r.call.answer <- a
 	l.close(r)
@@ -341,16 +366,16 @@
 	}
 	index := len(r.attempts)
 	b := l.table.byAddr[a.Server]
-	t := &attempt{backend: b}
+	now := time.Now()
+	t := &attempt{backend: b, sent: now}
 	r.attempts = append(r.attempts, t)
 	until := r.call.deadline.Add(-backstopMargin)
-	now := time.Now()
 	if a.Ms != 0 {
 		until = earliest(until, now.Add(ms(a.Ms)))
 	}
 	if why := l.forbidden(r, b, now, until); why != "" {
-		l.guard(why)
-		t.done = true
+		l.guard(why, "id", r.call.id)
+		t.done, t.end = true, policy.Moot
 		l.pending = append(l.pending, policy.Event{Kind: policy.EvOutcome, Request: r.id, Attempt: index,
 			Server: a.Server, Status: policy.Moot, Final: r.answered})
 		return
@@ -393,7 +418,8 @@
 // ended takes the end of an attempt.
 func (l *loop) ended(r *request, index int, res *result) {
 	t := r.attempts[index]
-	t.done = true
+	t.done, t.end, t.tookMs = true, res.status, res.latencyMs
+	l.figures.ends[res.status]++
 	t.backend.out--
 	r.out--
 	if res.status.NeverRan() {
@@ -453,18 +479,70 @@
 
 // ---- the log ----
 
-func (l *loop) guard(what string) {
+func (l *loop) guard(what string, args ...any) {
 	l.figures.guarded++
-	l.log(slog.LevelError, "guard: "+what)
+	l.log(slog.LevelError, "guard: "+what, args...)
 }
 
-func (l *loop) log(level slog.Level, text string, args ...any) {
-	if !l.limit.Allow() {
+// course logs what became of a request that did not end well, from its arrival
+// through each attempt: one line tells where its time went.
+func (l *loop) course(r *request, how string) {
+	if !l.mayLog() {
 		return
 	}
+	c := r.call
+	sinceMs := func(t time.Time) int64 { return t.Sub(c.came).Milliseconds() }
+	var steps strings.Builder
+	for _, t := range r.attempts {
+		id := "unlisted"
+		if t.backend != nil {
+			id = t.backend.id
+		}
+		fmt.Fprintf(&steps, "[%s at %d", id, sinceMs(t.sent))
+		if t.done {
+			fmt.Fprintf(&steps, " ended %d after %.0f]", t.end, t.tookMs)
+		} else {
+			steps.WriteString(" is out]")
+		}
+	}
+	l.write(slog.LevelInfo, "request "+how, "id", c.id, "class", l.cfg.Settings.Classes[c.class].Name,
+		"retry", c.retry, "after_ms", sinceMs(time.Now()), "of_ms", sinceMs(c.deadline),
+		"open", l.open, "attempts", steps.String())
+}
+
+// rejected counts and logs what came in that is no request of the protocol's.
+func (l *loop) rejected(id, from string, status int, err error) {
+	l.figures.rejected++
+	l.log(slog.LevelWarn, "request rejected", "id", id, "from", from, "status", status, "err", err)
+}
+
+func (l *loop) logFigures() {
+	l.write(slog.LevelInfo, "figures", "open", l.open, "backend_conns", l.pool.size(),
+		"counts", fmt.Sprintf("%+v", l.figures))
+}
+
+// mayLog bounds the lines a second, and counts what the bound left out.
+func (l *loop) mayLog() bool {
+	if l.limit.Allow() {
+		return true
+	}
+	l.figures.unlogged++
+	return false
+}
+
+func (l *loop) log(level slog.Level, text string, args ...any) {
+	if l.mayLog() {
+		l.write(level, text, args...)
+	}
+}
+
+// write hands a line to writeLog; one too many for its reader is left out.
+func (l *loop) write(level slog.Level, text string, args ...any) {
+	logger := l.logger
 	select {
-	case l.lines <- func() { slog.Log(l.ctx, level, text, args...) }:
+	case l.lines <- func() { logger.Log(l.ctx, level, text, args...) }:
 	default:
+		l.figures.unlogged++
 	}
 }
 
