Close client connections whose framing may hide a request in a body

The peers give a length and chunked framing together: by the length the second request is body. net/http reads such a message by its chunks, drops the length, keeps the connection and serves what follows.

Ruled out: sends repeated by the agent (attempts per request stayed at 1, each id was sent once); reuse of a broken backend connection (the inner request had its own line in the log of the front).

At fault: ServeHTTP in internal/agent/front.go, which let the connection go on. Now a chunked message is the last that is read from its connection, as HTTP asks for where both framings were given; what is rejected closes its connection too (peers pipelined up to 600 unusable requests on one); and messages before HTTP/1.1, where chunks don't count as framing, are rejected.

--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -725,3 +725,58 @@
 		t.Errorf("%d arrivals, want 1", b.count())
 	}
 }
+
+// Chunked framing may hide a request in what the sender meant as a body of the
+// length it also gave: nothing after the last chunk is read as a request.
+func TestNothingInsideABodyIsTakenForARequest(t *testing.T) {
+	inner := "POST /api/b2 HTTP/1.1\r\nHost: x\r\nRequest-Id: 2\r\nRequest-Class: order\r\n" +
+		"Request-Timeout-Ms: 4000\r\nContent-Length: 0\r\n\r\n"
+	body := "1\r\nx\r\n0\r\n\r\n" + inner
+	head := func(class, framing string) string {
+		return "POST /api/a1 HTTP/1.1\r\nHost: x\r\nRequest-Id: 1\r\nRequest-Class: " + class +
+			"\r\nRequest-Timeout-Ms: 4000\r\n" + framing + "\r\n\r\n"
+	}
+	length := fmt.Sprintf("Content-Length: %d", len(body))
+	for _, test := range []struct {
+		name, head string
+		status     int
+		arrivals   int
+	}{
+		{"length first", head("order", length+"\r\nTransfer-Encoding: chunked"), 200, 1},
+		{"length last", head("order", "Transfer-Encoding: chunked\r\n"+length), 200, 1},
+		{"rejected", head("nobody's", "Transfer-Encoding: chunked\r\n"+length), 400, 0},
+		{"before 1.1", strings.Replace(head("order", "Connection: keep-alive\r\nTransfer-Encoding: chunked"),
+			"HTTP/1.1", "HTTP/1.0", 1), 505, 0},
+		{"rejected, plain", head("nobody's", "Content-Length: 0"), 400, 0},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			a, b := one(t, serving)
+			c, err := net.Dial("tcp", a.addr)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer c.Close()
+			c.SetDeadline(time.Now().Add(patience))
+			fmt.Fprint(c, test.head+body)
+			br := bufio.NewReader(c)
+			resp, err := http.ReadResponse(br, nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			wantStatus(t, resp.StatusCode, test.status)
+			if _, err := io.ReadAll(resp.Body); err != nil {
+				t.Fatal(err)
+			}
+			if !resp.Close {
+				t.Error("the answer does not say that the connection closes")
+			}
+			// A reset counts as a close: what was not read makes the kernel send one.
+			if resp, err := http.ReadResponse(br, nil); err == nil {
+				t.Errorf("a second answer, %d", resp.StatusCode)
+			}
+			if b.count() != test.arrivals {
+				t.Errorf("%d arrivals, want %d", b.count(), test.arrivals)
+			}
+		})
+	}
+}
--- a/internal/agent/front.go
+++ b/internal/agent/front.go
@@ -83,6 +83,12 @@
 }
 
 func (f *front) ServeHTTP(w http.ResponseWriter, req *http.Request) {
+	// The server reads a chunked body by its chunks and drops a length that was given
+	// with it. By that length what follows would be body still: it must not be read as
+	// a request, so nothing more is read.
+	if len(req.TransferEncoding) > 0 {
+		w.Header().Set("Connection", "close")
+	}
 	if req.URL.Path == "/-/ready" {
 		if f.ready.Load() {
 			w.WriteHeader(http.StatusOK)
@@ -96,6 +102,8 @@
 	if err != nil {
 		id, from := req.Header.Get("Request-Id"), req.RemoteAddr
 		f.loop.post(func() { f.loop.rejected(id, from, status, err) })
+		// Who sends what is no request has no claim on what comes behind it.
+		w.Header().Set("Connection", "close")
 		http.Error(w, err.Error(), status)
 		return
 	}
@@ -117,6 +125,10 @@
 	bad := func(format string, args ...any) (*call, int, error) {
 		return nil, http.StatusBadRequest, fmt.Errorf(format, args...)
 	}
+	if !req.ProtoAtLeast(1, 1) {
+		// Before 1.1 chunks don't count, and a body framed by them would be read as requests.
+		return nil, http.StatusHTTPVersionNotSupported, fmt.Errorf("%s is not spoken here", req.Proto)
+	}
 	if req.Method != http.MethodGet && req.Method != http.MethodPost {
 		return nil, http.StatusMethodNotAllowed, fmt.Errorf("method %s is not allowed", req.Method)
 	}
