--- a/internal/agent/backend.go
+++ b/internal/agent/backend.go
@@ -35,6 +35,7 @@
 // result is how one attempt ended.
 type result struct {
 	status    policy.Status
+	why       string // what ended a failed attempt, for the log
 	latencyMs float64
 	report    []float32
 	header    http.Header
@@ -102,7 +103,7 @@
 	cn, err := p.get(ctx, addr, deadline)
 	if err != nil {
 		// Refused, never came up, or no descriptor: not a byte was sent.
-		return result{status: policy.ConnectFailed}
+		return result{status: policy.ConnectFailed, why: err.Error()}
 	}
 	reusable := false
 	// Withdrawing makes whatever reads or writes end at once.
@@ -121,34 +122,36 @@
 	}
 	out, err := c.wire(time.Until(deadline))
 	if err != nil {
-		return result{status: policy.ConnectFailed}
+		return result{status: policy.ConnectFailed, why: err.Error()}
 	}
 	// The connect may have taken long: the drain grace runs from the telling, so
 	// nothing is begun on a backend that was told to drain meanwhile.
 	if b.closed.Load() {
 		reusable = true
-		return result{status: policy.ConnectFailed}
+		return result{status: policy.ConnectFailed, why: "drains or gone"}
 	}
 	if n, err := cn.Write(out); err != nil {
 		if n < len(out) {
 			// The last byte never left, and the connection is closed: it cannot run.
-			return result{status: policy.ConnectFailed}
+			return result{status: policy.ConnectFailed, why: err.Error()}
 		}
-		return result{status: broken(err)}
+		return result{status: broken(err), why: err.Error()}
 	}
 	resp, body, err := readAnswer(cn.br, c.method)
 	if resp == nil {
-		return result{status: broken(err)}
+		return result{status: broken(err), why: err.Error()}
 	}
 	res := result{report: p.report(resp.Header)}
 	if err != nil {
-		res.status = broken(err)
+		res.status, res.why = broken(err), err.Error()
 		return res
 	}
 	reusable = !resp.Close && cn.br.Buffered() == 0
 	res.status = outcome(resp)
 	if res.status == policy.OK {
 		res.header, res.body = resp.Header, body
+	} else {
+		res.why = resp.Status
 	}
 	return res
 }
--- a/internal/agent/loop.go
+++ b/internal/agent/loop.go
@@ -121,6 +121,7 @@
 	done    bool
 	sent    time.Time
 	end     policy.Status // once it is done
+	why     string
 	tookMs  float64
 }
 
@@ -375,7 +376,7 @@
 	}
 	if why := l.forbidden(r, b, now, until); why != "" {
 		l.guard(why, "id", r.call.id)
-		t.done, t.end = true, policy.Moot
+		t.done, t.end, t.why = true, policy.Moot, why
 		l.pending = append(l.pending, policy.Event{Kind: policy.EvOutcome, Request: r.id, Attempt: index,
 			Server: a.Server, Status: policy.Moot, Final: r.answered})
 		return
@@ -418,7 +419,7 @@
 // ended takes the end of an attempt.
 func (l *loop) ended(r *request, index int, res *result) {
 	t := r.attempts[index]
-	t.done, t.end, t.tookMs = true, res.status, res.latencyMs
+	t.done, t.end, t.why, t.tookMs = true, res.status, res.why, res.latencyMs
 	l.figures.ends[res.status]++
 	t.backend.out--
 	r.out--
@@ -499,10 +500,13 @@
 			id = t.backend.id
 		}
 		fmt.Fprintf(&steps, "[%s at %d", id, sinceMs(t.sent))
-		if t.done {
-			fmt.Fprintf(&steps, " ended %d after %.0f]", t.end, t.tookMs)
-		} else {
+		switch {
+		case !t.done:
 			steps.WriteString(" is out]")
+		case t.why == "":
+			fmt.Fprintf(&steps, " ended %d after %.0f]", t.end, t.tookMs)
+		default:
+			fmt.Fprintf(&steps, " ended %d after %.0f: %s]", t.end, t.tookMs, t.why)
 		}
 	}
 	l.write(slog.LevelInfo, "request "+how, "id", c.id, "class", l.cfg.Settings.Classes[c.class].Name,
