--- a/internal/agent/backend.go
+++ b/internal/agent/backend.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -59,9 +60,19 @@
 
 type conn struct {
 	net.Conn
-	br    *bufio.Reader
-	addr  string
-	since time.Time // idle since
+	br      *bufio.Reader
+	addr    string
+	since   time.Time // idle since
+	uses    int       // requests carried
+	idledMs int64     // before the one it carries now
+}
+
+// story tells what broke a connection, and whether it was a kept one.
+func (c *conn) story(err error) string {
+	if c.uses <= 1 {
+		return fmt.Sprintf("%v on a new connection", err)
+	}
+	return fmt.Sprintf("%v on request %d of a connection that had idled %d ms", err, c.uses, c.idledMs)
 }
 
 var errTooMany = errors.New("no descriptor left for a connection")
@@ -108,6 +119,7 @@
 	reusable := false
 	// Withdrawing makes whatever reads or writes end at once.
 	stop := context.AfterFunc(ctx, func() { cn.SetDeadline(time.Unix(1, 0)) })
+	cn.uses++
 	defer func() {
 		// If the withdrawal has begun its deadline would hit the next user.
 		if stop() && reusable {
@@ -133,13 +145,13 @@
 	if n, err := cn.Write(out); err != nil {
 		if n < len(out) {
 			// The last byte never left, and the connection is closed: it cannot run.
-			return result{status: policy.ConnectFailed, why: err.Error()}
+			return result{status: policy.ConnectFailed, why: cn.story(err)}
 		}
-		return result{status: broken(err), why: err.Error()}
+		return result{status: broken(err), why: cn.story(err)}
 	}
 	resp, body, err := readAnswer(cn.br, c.method)
 	if resp == nil {
-		return result{status: broken(err), why: err.Error()}
+		return result{status: broken(err), why: cn.story(err)}
 	}
 	res := result{report: p.report(resp.Header)}
 	if err != nil {
@@ -250,6 +262,7 @@
 		p.idle[addr] = list[:len(list)-1]
 		p.mu.Unlock()
 		if time.Since(cn.since) < p.keepalive && alive(cn.Conn) {
+			cn.idledMs = time.Since(cn.since).Milliseconds()
 			return cn, nil
 		}
 		p.close(cn)
