Send the probes that the module asks for

Evidence: both agents log "probe asked for where none is allowed" in their first seconds, once for each of the two slots, and never again. The settings allow probes (limits.probing). Each reset demotes its server, as the design has it, and it comes back through validation; with no probe sent and no end of one told, the module's two slots stay taken for good, demoted servers rank below all others for what must not run twice, and take one request at a time.

Ruled out: the idle age of connections (resets come after 0 to 680 ms of idling alike, and on new ones); the descriptor limit (188 of 384).

At fault: carryOut() in internal/agent/loop.go, which dropped ActProbe. A probe is GET /-/healthy on the pool's connections now, never to a backend that drains or is gone, and each has one end, which the module is told. Probes are counted by how they ended.

--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -781,3 +781,76 @@
 		})
 	}
 }
+
+// Where the settings allow probes a demoted backend is validated by one, on the
+// health path and with nothing of a client's; where it drains it gets none.
+func TestProbeValidatesADemotedBackend(t *testing.T) {
+	probes := make(chan *http.Request, 100)
+	var healthy atomic.Bool // until a probe says so everything fails
+	b := newBackend(t, func(c net.Conn, req *http.Request, n int) bool {
+		if req.URL.Path == "/-/healthy" {
+			healthy.Store(true)
+			probes <- req
+			return send(c, 200, "", "")
+		}
+		if !healthy.Load() {
+			return send(c, 500, "", "")
+		}
+		return serving(c, req, n)
+	})
+	a := startAgent(t, newDiscoveryServer(t, target("s-1", b.addr)), func(c *Config) {
+		c.Settings.Limits.Probing = true
+		for i := range c.Settings.Classes {
+			c.Settings.Classes[i].AimMs = 20 // how long a first failure holds
+		}
+	})
+	status, _, _ := a.ask(newRequest(a.addr, "order", "x"))
+	wantStatus(t, status, 502)
+	var probe *http.Request
+	for end := time.Now().Add(patience); probe == nil && time.Now().Before(end); {
+		a.ask(newRequest(a.addr, "order", "x"))
+		select {
+		case probe = <-probes:
+		default:
+		}
+	}
+	if probe == nil {
+		t.Fatal("no probe came")
+	}
+	if probe.Method != http.MethodGet || probe.Header.Get("Request-Id") != "" || probe.ContentLength != 0 {
+		t.Errorf("the probe was %s %s with %v", probe.Method, probe.URL, probe.Header)
+	}
+	status, _, _ = a.ask(newRequest(a.addr, "order", "x"))
+	wantStatus(t, status, 200)
+}
+
+// How a probe ends, as the module is told.
+func TestProbeOutcomes(t *testing.T) {
+	for name, test := range map[string]struct {
+		answer func(net.Conn, *http.Request, int) bool
+		want   policy.Status
+	}{
+		"healthy":     {func(c net.Conn, _ *http.Request, _ int) bool { return send(c, 200, "", "") }, policy.OK},
+		"not healthy": {func(c net.Conn, _ *http.Request, _ int) bool { return send(c, 503, "", "") }, policy.Error},
+		"full": {func(c net.Conn, _ *http.Request, _ int) bool { return send(c, 503, "Not-Started: 1\r\n", "") },
+			policy.Full},
+		"reset":  {func(c net.Conn, _ *http.Request, _ int) bool { return reset(c) }, policy.Reset},
+		"silent": {func(net.Conn, *http.Request, int) bool { return true }, policy.Timeout},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newBackend(t, test.answer)
+			p := &pool{connectTimeout: 200 * time.Millisecond, keepalive: time.Minute, max: 8, idle: map[string][]*conn{}}
+			if res := p.probe(t.Context(), &backend{}, b.addr, "x"); res.status != test.want {
+				t.Errorf("ended as %d, want %d", res.status, test.want)
+			}
+			drained := &backend{}
+			drained.closed.Store(true)
+			if res := p.probe(t.Context(), drained, b.addr, "x"); res.status != policy.ConnectFailed {
+				t.Errorf("drained: ended as %d, want %d", res.status, policy.ConnectFailed)
+			}
+			if b.count() != 1 {
+				t.Errorf("%d arrivals, want 1", b.count())
+			}
+		})
+	}
+}
--- a/internal/agent/backend.go
+++ b/internal/agent/backend.go
@@ -100,7 +100,7 @@
 // do makes one attempt and returns how it ended, exactly once. It never sends
 // anything twice. Cancelling ctx withdraws the attempt and closes its connection.
 func (p *pool) do(ctx context.Context, b *backend, addr string, c *call, sent, deadline time.Time) result {
-	r := p.attempt(ctx, b, addr, c, deadline)
+	r := p.exchange(ctx, b, addr, c.method, c.wire, deadline)
 	// A withdrawn attempt says nothing of its backend, also where the withdrawal cut
 	// off a connect; an answer that was already there stands.
 	if ctx.Err() != nil && r.status != policy.OK && r.status != policy.Full {
@@ -110,7 +110,22 @@
 	return r
 }
 
-func (p *pool) attempt(ctx context.Context, b *backend, addr string, c *call, deadline time.Time) result {
+// probe asks a backend whether it is healthy, over the connections that attempts use.
+// It is given up after twice the time that a connect may take: a backend that lets a
+// cheap answer wait for so long is not validated.
+func (p *pool) probe(ctx context.Context, b *backend, addr, host string) result {
+	wire := func(time.Duration) ([]byte, error) {
+		return []byte("GET /-/healthy HTTP/1.1\r\nHost: " + host + "\r\n\r\n"), nil
+	}
+	sent := time.Now()
+	r := p.exchange(ctx, b, addr, http.MethodGet, wire, sent.Add(2*p.connectTimeout))
+	r.latencyMs = float64(time.Since(sent).Microseconds()) / 1000
+	return r
+}
+
+// exchange writes one message, made by wire for the time that is left, and reads its answer.
+func (p *pool) exchange(ctx context.Context, b *backend, addr, method string,
+	wire func(left time.Duration) ([]byte, error), deadline time.Time) result {
 	cn, err := p.get(ctx, addr, deadline)
 	if err != nil {
 		// Refused, never came up, or no descriptor: not a byte was sent.
@@ -132,7 +147,7 @@
 	if ctx.Err() != nil {
 		return result{status: policy.ConnectFailed}
 	}
-	out, err := c.wire(time.Until(deadline))
+	out, err := wire(time.Until(deadline))
 	if err != nil {
 		return result{status: policy.ConnectFailed, why: err.Error()}
 	}
@@ -149,7 +164,7 @@
 		}
 		return result{status: broken(err), why: cn.story(err)}
 	}
-	resp, body, err := readAnswer(cn.br, c.method)
+	resp, body, err := readAnswer(cn.br, method)
 	if resp == nil {
 		return result{status: broken(err), why: cn.story(err)}
 	}
--- a/internal/agent/fakes_test.go
+++ b/internal/agent/fakes_test.go
@@ -323,7 +323,7 @@
 	got := make(chan figures, 1)
 	a.loop.post(func() {
 		f := a.loop.figures
-		f.ends = maps.Clone(f.ends)
+		f.ends, f.probes = maps.Clone(f.ends), maps.Clone(f.probes)
 		got <- f
 	})
 	return <-got
--- a/internal/agent/loop.go
+++ b/internal/agent/loop.go
@@ -65,6 +65,8 @@
 	taken, served, late, refused, failed, gone, rejected, backstops, guarded int
 	// ends counts the attempts by how they ended.
 	ends map[policy.Status]int
+	// probes counts the probes by how they ended.
+	probes map[policy.Status]int
 	// unlogged counts the lines that the log's bound left out.
 	unlogged int
 }
@@ -136,7 +138,8 @@
 	l := &loop{cfg: cfg, ctx: ctx, balancer: balancer, table: newTable(cfg.Zones, cfg.Kinds),
 		pool: newPool(cfg), logger: slog.Default(), limit: rate.NewLimiter(5, 50), lines: make(chan func(), 64), inbox: make(chan func(), 4096),
 		started: now, baseMs: float64(now.UnixMicro()) / 1000,
-		requests: map[policy.RequestID]*request{}, ready: ready, figures: figures{ends: map[policy.Status]int{}}}
+		requests: map[policy.RequestID]*request{}, ready: ready,
+		figures: figures{ends: map[policy.Status]int{}, probes: map[policy.Status]int{}}}
 	l.disc = newDiscovery(cfg.Discovery, func(list *List, watch bool, err error) {
 		l.post(func() { l.onList(list, watch, err) })
 	})
@@ -243,8 +246,7 @@
 		case policy.ActLog:
 			l.log(slog.LevelInfo, "module", "text", a.Text)
 		case policy.ActProbe:
-			// Probes are forbidden here and the settings say so: never asked for.
-			l.log(slog.LevelError, "probe asked for where none is allowed")
+			l.probe(a.Server)
 		}
 	}
 }
@@ -396,6 +398,34 @@
 	}()
 }
 
+// probe validates a backend in the background. The module waits for one end of each
+// probe, so one that can't be sent has ended too.
+func (l *loop) probe(name policy.Addr) {
+	b := l.table.byAddr[name]
+	if b == nil || b.addr == "" || b.closed.Load() || !l.cfg.Settings.Limits.Probing {
+		l.pending = append(l.pending, policy.Event{Kind: policy.EvProbed, Server: name, Status: policy.Moot})
+		return
+	}
+	b.out++
+	addr := b.addr
+	go func() {
+		res := l.pool.probe(l.ctx, b, addr, l.cfg.Listen)
+		l.post(func() { l.probed(b, &res) })
+	}()
+}
+
+// probed takes the end of a probe.
+func (l *loop) probed(b *backend, res *result) {
+	b.out--
+	l.figures.probes[res.status]++
+	if res.status != policy.OK {
+		l.log(slog.LevelInfo, "probe failed", "backend", b.id, "ended", res.status, "why", res.why)
+	}
+	l.handle(&policy.Event{Kind: policy.EvProbed, Server: b.name, Status: res.status,
+		LatencyMs: res.latencyMs, Report: res.report})
+	l.table.forget(b)
+}
+
 // forbidden guards the contract whatever the module says; "" allows the attempt.
 func (l *loop) forbidden(r *request, b *backend, now, until time.Time) string {
 	c := &l.cfg.Settings.Classes[r.call.class]
