--- a/internal/agent/backend.go
+++ b/internal/agent/backend.go
@@ -62,6 +62,7 @@
 	net.Conn
 	br      *bufio.Reader
 	addr    string
+	made    time.Time
 	since   time.Time // idle since
 	uses    int       // requests carried
 	idledMs int64     // before the one it carries now
@@ -69,10 +70,8 @@
 
 // story tells what broke a connection, and whether it was a kept one.
 func (c *conn) story(err error) string {
-	if c.uses <= 1 {
-		return fmt.Sprintf("%v on a new connection", err)
-	}
-	return fmt.Sprintf("%v on request %d of a connection that had idled %d ms", err, c.uses, c.idledMs)
+	return fmt.Sprintf("%v on request %d of a connection of %d ms that had idled %d ms", err, c.uses,
+		time.Since(c.made).Milliseconds(), c.idledMs)
 }
 
 var errTooMany = errors.New("no descriptor left for a connection")
@@ -170,7 +169,7 @@
 	}
 	res := result{report: p.report(resp.Header)}
 	if err != nil {
-		res.status, res.why = broken(err), err.Error()
+		res.status, res.why = broken(err), cn.story(err)
 		return res
 	}
 	reusable = !resp.Close && cn.br.Buffered() == 0
@@ -296,7 +295,7 @@
 		p.mu.Unlock()
 		return nil, err
 	}
-	return &conn{Conn: nc, br: bufio.NewReaderSize(nc, 4<<10), addr: addr}, nil
+	return &conn{Conn: nc, br: bufio.NewReaderSize(nc, 4<<10), addr: addr, made: time.Now()}, nil
 }
 
 // evict closes the connection that has been idle longest, to make room for
