--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -994,3 +994,14 @@
 		}
 	}
 }
+
+func TestViewTellsWhyRequestsWait(t *testing.T) {
+	r := newRig(t, testSettings(), 2)
+	id, s := r.sent(1, 0)
+	r.outcome(id, 0, s, Error, 5)
+	r.sent(1, 0)
+	v := r.b.View()
+	if v.States != [4]int{0, 1, 0, 1} || v.InFlight != 1 || v.Held != 0 || v.Window != firstWindow+1 {
+		t.Errorf("%+v", v)
+	}
+}
--- a/policy/state.go
+++ b/policy/state.go
@@ -288,6 +288,23 @@
 	s.state, s.since = to, b.now
 }
 
+// View is what an operator sees of a Balancer: why requests wait or are refused.
+type View struct {
+	States         [4]int // listed servers by state
+	Held, InFlight int
+	Window, Shed   float64 // attempts that all may hold; the part refused at once
+}
+
+// View sums up the moment, for the log.
+func (b *Balancer) View() View {
+	v := View{Held: len(b.held), InFlight: b.inflight, Shed: b.shed()}
+	for _, s := range b.servers {
+		v.States[s.state]++
+		v.Window += s.window
+	}
+	return v
+}
+
 // finite is the number, or 0 where it is negative or none.
 func finite(x float64) float64 {
 	if !(x > 0) || math.IsInf(x, 1) {
