Take a probe that was broken off for a failure, not for silence

Evidence: with each server's state logged once a second, half of the ten are Unhealthy for up to 3.4 s while requests wait, all of these marked silent with five strikes, and no attempt out. A server that fails some requests is checked again at once while others have no room; one that is silent is not.

Ruled out: the probe slots and their budget (both free in every second logged); servers' own failures (their strikes alone hold for 0 ms while room is scarce).

At fault: onProbed() in policy/policy.go, which demoted for silence whatever ended the probe. judge() tells a reset or an error from silence; now both do.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -829,7 +829,7 @@
 		b.heardFrom(s)
 		b.enter(s, Connected)
 	case ev.Status != Full:
-		b.demote(s, true)
+		b.demote(s, ev.Status != Error && ev.Status != Reset)
 	}
 }
 
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -1005,3 +1005,25 @@
 		t.Errorf("%+v", v)
 	}
 }
+
+// A probe that the server broke off was answered by a process that runs: no silence,
+// which would hold the server also while requests find no room elsewhere.
+func TestBrokenProbeIsNoSilence(t *testing.T) {
+	for status, silent := range map[Status]bool{Error: false, Reset: false, Timeout: true, ConnectFailed: true} {
+		set := testSettings()
+		set.Limits.Probing = true
+		r := newRig(t, set, 1)
+		id, s := r.sent(1, 0)
+		r.outcome(id, 0, s, Error, 5)
+		r.now += 2 * set.Classes[1].AimMs
+		r.ask(1, 0)
+		srv := r.b.byAddr[s]
+		if !srv.probing {
+			t.Fatal("no probe was sent")
+		}
+		r.do(Event{Kind: EvProbed, Server: s, Status: status, LatencyMs: 1})
+		if srv.state != Unhealthy || srv.silent != silent {
+			t.Errorf("probe ended %d: state %d, silent %v, want %v", status, srv.state, srv.silent, silent)
+		}
+	}
+}
