Pass nothing on that a connection brings after this agent has closed it

The connection table chose connections that the server still held for idle, whose next request was already being read: net/http calls a connection active only once a request's head is read.

Ruled out: the module (single_shot goes out once whatever happens, by the guard in loop.go too); backend connections (no attempt is written twice).

At fault: clientConns.track() and ServeHTTP in internal/agent/front.go; at SIGTERM the server's own closing of idle connections has the same gap. A request on a connection that this agent has closed is now dropped before it is taken: its client sends it again, and only that copy runs.

--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -854,3 +854,73 @@
 		})
 	}
 }
+
+// lateCloses makes connections that the agent closes go on being read: a request that
+// crosses the close is what they bring then.
+type lateCloses struct{ net.Listener }
+
+type lateClose struct {
+	net.Conn
+	closed chan struct{}
+	once   sync.Once
+}
+
+func (l lateCloses) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &lateClose{Conn: c, closed: make(chan struct{})}, nil
+}
+
+// Close takes effect at the second call, the one that ends the serving of a connection.
+func (c *lateClose) Close() error {
+	first := false
+	c.once.Do(func() { first = true; close(c.closed) })
+	if first {
+		return nil
+	}
+	return c.Conn.Close()
+}
+
+// A request that crosses the close of its idle connection is sent once more by its
+// client, on another: if the agent passes it on as well, two copies run.
+func TestRequestThatCrossesACloseIsNotPassedOn(t *testing.T) {
+	b := newBackend(t, serving)
+	d := newDiscoveryServer(t, target("s-1", b.addr))
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	a := startAgentOn(t, d, lateCloses{ln}, func(c *Config) { c.Sockets = minSockets })
+	most := a.loop.cfg.clientConns()
+	dial := func() (net.Conn, *bufio.Reader) {
+		c, err := net.Dial("tcp", a.addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { c.Close() })
+		c.SetDeadline(time.Now().Add(patience))
+		return c, bufio.NewReader(c)
+	}
+	first, br := dial()
+	fmt.Fprint(first, "GET /-/ready HTTP/1.1\r\nHost: x\r\n\r\n")
+	if resp, err := http.ReadResponse(br, nil); err != nil || resp.StatusCode != 200 {
+		t.Fatalf("%v, %v", resp, err)
+	}
+	for range most * 7 / 8 { // the first is the longest idle and makes room
+		c, br := dial()
+		fmt.Fprint(c, "GET /-/ready HTTP/1.1\r\nHost: x\r\n\r\n")
+		if resp, err := http.ReadResponse(br, nil); err != nil || resp.StatusCode != 200 {
+			t.Fatalf("%v, %v", resp, err)
+		}
+	}
+	fmt.Fprint(first, "POST /api/a1 HTTP/1.1\r\nHost: x\r\nRequest-Id: 1\r\nRequest-Class: order\r\n"+
+		"Request-Timeout-Ms: 4000\r\nContent-Length: 0\r\n\r\n")
+	if resp, err := http.ReadResponse(br, nil); err == nil {
+		t.Errorf("answered %d on a connection that was closed", resp.StatusCode)
+	}
+	if f := a.figures(); f.taken != 0 || b.count() != 0 {
+		t.Errorf("%d taken, %d arrivals, want none", f.taken, b.count())
+	}
+}
--- a/internal/agent/fakes_test.go
+++ b/internal/agent/fakes_test.go
@@ -278,6 +278,12 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	return startAgentOn(t, d, ln, change)
+}
+
+// startAgentOn is startAgent with a listener of the test's.
+func startAgentOn(t *testing.T, d *fakeDiscovery, ln net.Listener, change func(*Config)) *testAgent {
+	t.Helper()
 	f := file{Listen: ln.Addr().String(), Discovery: d.Listener.Addr().String(), Seed: "7",
 		Known: d.list, Settings: json.RawMessage(testSettings)}
 	f.Limits.Cores, f.Limits.MemoryMB, f.Limits.Sockets = 1, 192, 1024
--- a/internal/agent/front.go
+++ b/internal/agent/front.go
@@ -56,7 +56,10 @@
 		IdleTimeout:       2 * time.Minute,
 		MaxHeaderBytes:    16 << 10,
 		ConnState:         f.conns.track,
-		ErrorLog:          slog.NewLogLogger(slog.Default().Handler(), slog.LevelWarn),
+		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
+			return context.WithValue(ctx, connKey{}, c)
+		},
+		ErrorLog: slog.NewLogLogger(slog.Default().Handler(), slog.LevelWarn),
 	}
 	return f
 }
@@ -64,7 +67,8 @@
 // serve accepts clients until the server is shut down.
 func (f *front) serve(ln net.Listener) error {
 	// Beyond the limit clients wait in the accept queue, not as descriptors.
-	if err := f.server.Serve(netutil.LimitListener(ln, f.conns.max)); !errors.Is(err, http.ErrServerClosed) {
+	ln = clientListener{netutil.LimitListener(ln, f.conns.max)}
+	if err := f.server.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
 		return fmt.Errorf("front: %w", err)
 	}
 	return nil
@@ -83,6 +87,12 @@
 }
 
 func (f *front) ServeHTTP(w http.ResponseWriter, req *http.Request) {
+	// A connection that is being closed as idle may just have brought a request. Its
+	// client can't have an answer and sends the request once more on another
+	// connection: passed on as well, this copy would run beside that one.
+	if c, ok := req.Context().Value(connKey{}).(*clientConn); ok && c.closed.Load() {
+		panic(http.ErrAbortHandler)
+	}
 	// The server reads a chunked body by its chunks and drops a length that was given
 	// with it. By that length what follows would be body still: it must not be read as
 	// a request, so nothing more is read.
@@ -199,6 +209,30 @@
 	}
 }
 
+// connKey is the key of a request's *clientConn in its context.
+type connKey struct{}
+
+// clientConn is a client's connection that tells whether this agent has closed it.
+type clientConn struct {
+	net.Conn
+	closed atomic.Bool
+}
+
+func (c *clientConn) Close() error {
+	c.closed.Store(true)
+	return c.Conn.Close()
+}
+
+type clientListener struct{ net.Listener }
+
+func (l clientListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &clientConn{Conn: c}, nil
+}
+
 // clientConns closes the client connections that have idled longest when there
 // are nearly as many as may be: clients keep connections for good, and those that
 // wait for a descriptor would wait as long.
