Watch discovery from the start where changes of the list are pushed

At fault: loop.run() and onList() in internal/agent/loop.go, which watched only when the module said so. Now the agent keeps a watch by itself there, from its start, and opens it anew after a failure with a doubled, jittered wait of 2 s at most.

--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -924,3 +924,27 @@
 		t.Errorf("%d taken, %d arrivals, want none", f.taken, b.count())
 	}
 }
+
+// Where changes of the list are pushed the module asks for nothing: the agent watches
+// by itself from its start, and again after failures.
+func TestPushedChangesAreWatchedFor(t *testing.T) {
+	first, second := newBackend(t, serving), newBackend(t, serving)
+	d := newDiscoveryServer(t, target("s-1", first.addr))
+	a := startAgent(t, d, func(c *Config) { c.Settings.Membership = "pushed" })
+	d.told(t, target("s-2", second.addr))
+	d.setDown(true)
+	for before := d.callCount(); d.callCount() < before+2; time.Sleep(time.Millisecond) {
+	}
+	d.setDown(false)
+	gone := target("s-1", first.addr)
+	gone.State = "removed"
+	d.told(t, gone)
+	before := first.count()
+	for range 4 {
+		status, _, _ := a.ask(newRequest(a.addr, "order", "x"))
+		wantStatus(t, status, 200)
+	}
+	if first.count() != before || second.count() < 4 {
+		t.Errorf("%d arrivals at the one that is gone, %d at the other", first.count()-before, second.count())
+	}
+}
--- a/internal/agent/discovery.go
+++ b/internal/agent/discovery.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"time"
@@ -43,6 +44,10 @@
 	// callsPerS and callBurst bound the calls: a discovery that answers watches at
 	// once must not be asked in a tight loop. A watch outlives the gap.
 	callsPerS, callBurst = 10, 10
+	// followFirst and followMost bound the wait, doubled at each failure and jittered,
+	// before a watch that the agent keeps by itself is opened anew: what discovery has to
+	// tell counts as told 6 s later at the latest.
+	followFirst, followMost = 100 * time.Millisecond, 2 * time.Second
 	// maxList bounds an answer of discovery.
 	maxList = 8 << 20
 )
@@ -50,7 +55,8 @@
 // discovery makes the calls that the module asks for and hands on what they
 // bring. When to call again after a failure is the module's to decide: a failed
 // call ends the watch and is told as ListFailed, and the module answers with a
-// timer, doubled and jittered, so that discovery is never hammered.
+// timer, doubled and jittered, so that discovery is never hammered. Where changes
+// are pushed the module does not ask, and follow keeps a watch.
 type discovery struct {
 	url    string
 	client *http.Client
@@ -72,10 +78,25 @@
 	}
 }
 
-// watch follows the changes from version on, until a call fails or ctx ends. The
-// next call goes out before the last answer is even handed on: a watch lives for
-// 200 ms without one, and a new watch loads discovery.
-func (d *discovery) watch(ctx context.Context, version uint64) {
+// follow keeps a watch from version on until ctx ends.
+func (d *discovery) follow(ctx context.Context, version uint64) {
+	for wait := followFirst; ctx.Err() == nil; wait = min(2*wait, followMost) {
+		reached, answered := d.watch(ctx, version)
+		if version = reached; answered {
+			wait = followFirst
+		}
+		select {
+		case <-time.After(wait/2 + rand.N(wait/2)):
+		case <-ctx.Done():
+		}
+	}
+}
+
+// watch follows the changes from version on, until a call fails or ctx ends, and
+// returns the version it reached and whether any call was answered. The next call
+// goes out before the last answer is even handed on: a watch lives for 200 ms
+// without one, and a new watch loads discovery.
+func (d *discovery) watch(ctx context.Context, version uint64) (reached uint64, answered bool) {
 	type result struct {
 		list *List
 		err  error
@@ -93,13 +114,14 @@
 	for first := true; ; first = false {
 		r := <-next
 		if ctx.Err() != nil {
-			return
+			return version, !first
 		}
 		if r.err != nil {
 			d.told(nil, true, r.err)
-			return
+			return version, !first
 		}
-		next = call(r.list.Version)
+		version = r.list.Version
+		next = call(version)
 		// An empty answer says nothing, but the first is the answer to the call.
 		if first || r.list.Full || len(r.list.Servers) > 0 {
 			d.told(r.list, true, nil)
--- a/internal/agent/loop.go
+++ b/internal/agent/loop.go
@@ -164,6 +164,10 @@
 	if l.table.usable() {
 		l.ready()
 	}
+	if l.pushed() {
+		l.watching = true
+		go l.disc.follow(l.ctx, l.version)
+	}
 	sweep := time.NewTicker(sweepEvery)
 	defer sweep.Stop()
 	count := time.NewTicker(figuresEvery)
@@ -476,13 +480,17 @@
 // older than the list at hand is dropped, but for a whole list on the watch,
 // which is how a discovery that started again from nothing says so.
 func (l *loop) onList(list *List, watch bool, err error) {
-	if watch && err != nil {
-		l.watching = false
-	} else if !watch {
+	if !watch {
 		l.fetching = false
 	}
 	if err != nil {
 		l.log(slog.LevelWarn, "discovery call failed", "err", err)
+		if watch && l.pushed() {
+			return // the module did not ask for the watch, which goes on by itself
+		}
+		if watch {
+			l.watching = false
+		}
 		l.handle(&policy.Event{Kind: policy.EvList, List: policy.ListFailed})
 		return
 	}
@@ -499,6 +507,9 @@
 	}
 }
 
+// pushed tells whether changes of the list come without the module's asking.
+func (l *loop) pushed() bool { return l.cfg.Settings.Membership == "pushed" }
+
 func (l *loop) list(list *List, kind policy.ListKind, full bool) {
 	l.version = list.Version
 	entries, stale, gone := l.table.apply(list, full)
