Reload on SIGHUP: follow discovery to the address that the file names now

At fault: run() in cmd/ringtrack/main.go caught SIGTERM and the interrupt only, and discovery's address was fixed at the start. The handler now stands before all else; the file is read again and wins over the environment of the start; calls that are out are made again at the new address, its whole list is asked for, and kept connections to the old one are closed. A file that can't be used is logged and changes nothing.

--- a/cmd/ringtrack/main.go
+++ b/cmd/ringtrack/main.go
@@ -25,6 +25,9 @@
 }
 
 func run() error {
+	// Before all else: without a handler the signal would end the program.
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
 	slog.SetDefault(slog.New(slog.NewTextHandler(os.Stderr, nil)))
 	cfg, err := agent.LoadConfig(os.Getenv)
 	if err != nil {
@@ -42,5 +45,29 @@
 		return fmt.Errorf("listen: %w", err)
 	}
 	slog.Info("listening", "name", cfg.Name, "addr", ln.Addr().String())
-	return agent.Run(stop, cfg, ln)
+	reloads := make(chan *agent.Config)
+	go reload(stop, hangups, reloads)
+	return agent.Run(stop, cfg, ln, reloads)
+}
+
+// reload hands on the configuration at each hangup until stop is done. A file that
+// can't be used changes nothing.
+func reload(stop context.Context, hangups <-chan os.Signal, reloads chan<- *agent.Config) {
+	for {
+		select {
+		case <-hangups:
+		case <-stop.Done():
+			return
+		}
+		cfg, err := agent.ReloadConfig(os.Getenv)
+		if err != nil {
+			slog.Error("reload failed, the old configuration stays", "err", err)
+			continue
+		}
+		select {
+		case reloads <- cfg:
+		case <-stop.Done():
+			return
+		}
+	}
 }
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -9,13 +9,14 @@
 )
 
 // Run serves until stop is done, then ends in order. It returns nil when every
-// request that was held has been answered.
-func Run(stop context.Context, cfg *Config, ln net.Listener) error {
-	return run(stop, cfg, ln, func(*loop) {})
+// request that was held has been answered. Each configuration that comes on reloads
+// replaces the address of discovery; the rest of it takes effect at a start only.
+func Run(stop context.Context, cfg *Config, ln net.Listener, reloads <-chan *Config) error {
+	return run(stop, cfg, ln, reloads, func(*loop) {})
 }
 
 // run is Run, which also hands out the loop before it starts.
-func run(stop context.Context, cfg *Config, ln net.Listener, made func(*loop)) error {
+func run(stop context.Context, cfg *Config, ln net.Listener, reloads <-chan *Config, made func(*loop)) error {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel() // only after the front: requests held need the loop to the end
 	f := newFront(cfg)
@@ -32,10 +33,15 @@
 	}()
 	failed := make(chan error, 1)
 	go func() { failed <- f.serve(ln) }()
-	select {
-	case err := <-failed:
-		return err
-	case <-stop.Done():
+	for serving := true; serving; {
+		select {
+		case err := <-failed:
+			return err
+		case c := <-reloads:
+			l.post(func() { l.reload(c) })
+		case <-stop.Done():
+			serving = false
+		}
 	}
 	// SIGKILL comes no sooner than the longest deadline and 0.7 s after SIGTERM:
 	// what came last has its whole time, and the end is well before that.
--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -948,3 +948,36 @@
 		t.Errorf("%d arrivals at the one that is gone, %d at the other", first.count()-before, second.count())
 	}
 }
+
+// After a reload the list is followed at the new address, whichever side asks for
+// the watch, and the old one gets nothing more.
+func TestReloadMovesDiscovery(t *testing.T) {
+	for _, mode := range []string{"pushed", "on_request"} {
+		t.Run(mode, func(t *testing.T) {
+			first, second := newBackend(t, serving), newBackend(t, serving)
+			old := newDiscoveryServer(t, target("s-1", first.addr))
+			a := startAgent(t, old, func(c *Config) { c.Settings.Membership = mode })
+			old.wait(t, 1)
+			moved := newDiscoveryServer(t, target("s-1", first.addr), target("s-2", second.addr))
+			moved.list.Version = 7
+			cfg := *a.loop.cfg
+			cfg.Discovery = moved.Listener.Addr().String()
+			a.reloads <- &cfg
+			moved.wait(t, 7)
+			before := old.callCount()
+			gone := target("s-1", first.addr)
+			gone.State = "removed"
+			moved.told(t, gone)
+			for range 4 {
+				status, _, _ := a.ask(newRequest(a.addr, "order", "x"))
+				wantStatus(t, status, 200)
+			}
+			if first.count() != 0 || second.count() < 4 {
+				t.Errorf("%d arrivals at the one that is gone, %d at the other", first.count(), second.count())
+			}
+			if n := old.callCount() - before; n != 0 {
+				t.Errorf("%d calls at the old address", n)
+			}
+		})
+	}
+}
--- a/internal/agent/config.go
+++ b/internal/agent/config.go
@@ -46,17 +46,9 @@
 // names. Where both tell a thing the environment wins: it is what the platform
 // set for this very start.
 func LoadConfig(getenv func(string) string) (*Config, error) {
-	path := getenv("PROXY_CONFIG")
-	if path == "" {
-		return nil, fmt.Errorf("config: PROXY_CONFIG is not set")
-	}
-	text, err := os.ReadFile(path)
+	f, err := readFile(getenv)
 	if err != nil {
-		return nil, fmt.Errorf("config: %w", err)
-	}
-	var f file
-	if err := json.Unmarshal(text, &f); err != nil {
-		return nil, fmt.Errorf("config: %s: %w", path, err)
+		return nil, err
 	}
 	for _, over := range []struct {
 		name string
@@ -69,6 +61,32 @@
 	return f.config()
 }
 
+// ReloadConfig reads the file again, in service. What the file says now is later than
+// what the environment said at the start, so the file wins.
+func ReloadConfig(getenv func(string) string) (*Config, error) {
+	f, err := readFile(getenv)
+	if err != nil {
+		return nil, err
+	}
+	return f.config()
+}
+
+func readFile(getenv func(string) string) (*file, error) {
+	path := getenv("PROXY_CONFIG")
+	if path == "" {
+		return nil, fmt.Errorf("config: PROXY_CONFIG is not set")
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("config: %w", err)
+	}
+	f := new(file)
+	if err := json.Unmarshal(text, f); err != nil {
+		return nil, fmt.Errorf("config: %s: %w", path, err)
+	}
+	return f, nil
+}
+
 func (f *file) config() (*Config, error) {
 	c := &Config{Name: f.Name, Listen: f.Listen, Discovery: f.Discovery, Known: f.Known,
 		Cores: f.Limits.Cores, MemoryMB: f.Limits.MemoryMB, Sockets: f.Limits.Sockets}
--- a/internal/agent/discovery.go
+++ b/internal/agent/discovery.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"sync"
 	"time"
 
 	"golang.org/x/time/rate"
@@ -58,17 +60,33 @@
 // timer, doubled and jittered, so that discovery is never hammered. Where changes
 // are pushed the module does not ask, and follow keeps a watch.
 type discovery struct {
-	url    string
+	mu     sync.Mutex
+	place  *place
 	client *http.Client
 	limit  *rate.Limiter
 	// told is called with each answer; a nil list is a failure.
 	told func(l *List, watch bool, err error)
 }
 
+// place is one address of discovery; left is done once there is another.
+type place struct {
+	url   string
+	left  context.Context
+	leave context.CancelFunc
+}
+
+// errMoved ends a call to an address that discovery has left.
+var errMoved = errors.New("discovery has moved")
+
+func newPlace(addr string) *place {
+	left, leave := context.WithCancel(context.Background())
+	return &place{url: "http://" + addr + "/api/targets", left: left, leave: leave}
+}
+
 func newDiscovery(addr string, told func(*List, bool, error)) *discovery {
 	dialer := net.Dialer{Timeout: callGrace}
 	return &discovery{
-		url: "http://" + addr + "/api/targets",
+		place: newPlace(addr),
 		client: &http.Client{Transport: &http.Transport{
 			DialContext: dialer.DialContext, MaxIdleConnsPerHost: 2, MaxConnsPerHost: 4,
 			IdleConnTimeout: time.Minute, DisableCompression: true,
@@ -78,6 +96,23 @@
 	}
 }
 
+// move takes discovery to be at another address: calls that are out are made again
+// there. The old address closes what stays open, so nothing is kept.
+func (d *discovery) move(addr string) {
+	d.mu.Lock()
+	old := d.place
+	d.place = newPlace(addr)
+	d.mu.Unlock()
+	old.leave()
+	d.client.CloseIdleConnections()
+}
+
+func (d *discovery) at() *place {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.place
+}
+
 // follow keeps a watch from version on until ctx ends.
 func (d *discovery) follow(ctx context.Context, version uint64) {
 	for wait := followFirst; ctx.Err() == nil; wait = min(2*wait, followMost) {
@@ -113,6 +148,11 @@
 	next := call(version)
 	for first := true; ; first = false {
 		r := <-next
+		if errors.Is(r.err, errMoved) {
+			// The new place is asked for all it has: it may count versions of its own.
+			next = call(0)
+			continue
+		}
 		if ctx.Err() != nil {
 			return version, !first
 		}
@@ -132,6 +172,9 @@
 // fetch asks for the whole list once.
 func (d *discovery) fetch(ctx context.Context) {
 	l, err := d.get(ctx, "", 2*callGrace)
+	if errors.Is(err, errMoved) {
+		l, err = d.get(ctx, "", 2*callGrace)
+	}
 	if ctx.Err() == nil {
 		d.told(l, false, err)
 	}
@@ -143,7 +186,18 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, within)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, d.url+query, nil)
+	at := d.at()
+	defer context.AfterFunc(at.left, cancel)()
+	l, err := d.call(ctx, at.url+query)
+	if err != nil && at.left.Err() != nil {
+		return nil, errMoved
+	}
+	return l, err
+}
+
+// call makes one call and reads the list that it brings.
+func (d *discovery) call(ctx context.Context, url string) (*List, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
 		return nil, fmt.Errorf("discovery: %w", err)
 	}
--- a/internal/agent/fakes_test.go
+++ b/internal/agent/fakes_test.go
@@ -11,6 +11,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -169,9 +170,10 @@
 	for {
 		d.mu.Lock()
 		version, wake, down := d.list.Version, d.wake, d.down
-		var delta List
-		if version > index {
-			delta.Version = version
+		delta := List{Version: version}
+		if index == 0 { // all there is has changed since
+			delta = List{Version: version, Full: true, Servers: slices.Clone(d.list.Servers)}
+		} else if version > index {
 			for _, s := range d.list.Servers {
 				if d.changed[s.ID] > index {
 					delta.Servers = append(delta.Servers, s)
@@ -269,6 +271,8 @@
 	loop *loop
 	stop context.CancelFunc
 	done chan error
+	// reloads takes what a SIGHUP would bring.
+	reloads chan *Config
 }
 
 // startAgent starts an agent that knows the list of the discovery as it is now.
@@ -295,9 +299,10 @@
 		change(cfg)
 	}
 	ctx, stop := context.WithCancel(context.Background())
-	a := &testAgent{t: t, addr: ln.Addr().String(), stop: stop, done: make(chan error, 1)}
+	a := &testAgent{t: t, addr: ln.Addr().String(), stop: stop, done: make(chan error, 1),
+		reloads: make(chan *Config)}
 	started := make(chan *loop, 1)
-	go func() { a.done <- run(ctx, cfg, ln, func(l *loop) { started <- l }) }()
+	go func() { a.done <- run(ctx, cfg, ln, a.reloads, func(l *loop) { started <- l }) }()
 	a.loop = <-started
 	t.Cleanup(func() {
 		stop()
--- a/internal/agent/loop.go
+++ b/internal/agent/loop.go
@@ -476,6 +476,16 @@
 
 // ---- discovery ----
 
+// reload takes over what may change in service: where discovery is.
+func (l *loop) reload(cfg *Config) {
+	if cfg.Discovery == l.cfg.Discovery {
+		return
+	}
+	l.write(slog.LevelInfo, "discovery moves", "from", l.cfg.Discovery, "to", cfg.Discovery)
+	l.cfg.Discovery = cfg.Discovery
+	l.disc.move(cfg.Discovery)
+}
+
 // onList takes an answer of discovery. A watch and a fetch may cross: what is
 // older than the list at hand is dropped, but for a whole list on the watch,
 // which is how a discovery that started again from nothing says so.
