End peers that bring no whole request in time

The server gave a head 5 s and a whole request 10 s, so silent peers, half requests and slow ones stayed for that long, each on one of the descriptors that clients share.

At fault: the time-outs in newFront() of internal/agent/front.go. A head has 2 s now and a whole request 2.5 s; a request that has come whole may wait for longer, as the server lifts the limit by itself once the body is read (tested).

--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -981,3 +981,68 @@
 		})
 	}
 }
+
+// Whoever connects and brings no whole request is owed an error or a close in 3 s from
+// connecting, also one that sends a byte now and then.
+func TestImproperPeersAreEndedInTime(t *testing.T) {
+	t.Parallel()
+	a, b := one(t, serving)
+	head := "POST /api/a1 HTTP/1.1\r\nHost: x\r\nRequest-Id: 1\r\nRequest-Class: order\r\nRequest-Timeout-Ms: 4000\r\n"
+	for name, peer := range map[string]struct{ at, drip string }{
+		"silent":       {"", ""},
+		"half a head":  {head, ""},
+		"slow head":    {"POST /api/a1 HTTP/1.1\r\nX: ", "x"},
+		"half a body":  {head + "Content-Length: 10\r\n\r\nabc", ""},
+		"slow body":    {head + "Content-Length: 1000\r\n\r\nabc", "x"},
+		"slow chunks":  {head + "Transfer-Encoding: chunked\r\n\r\n", "1\r\nx\r\n"},
+		"endless head": {"POST /api/a1 HTTP/1.1\r\nX: ", strings.Repeat("x", 4096)},
+		// The time is the connection's: a request before does not buy more.
+		"second half": {"GET /-/ready HTTP/1.1\r\nHost: x\r\n\r\nPOST /api/a1 HT", ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			c, err := net.Dial("tcp", a.addr)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer c.Close()
+			from := time.Now()
+			c.SetDeadline(from.Add(patience))
+			fmt.Fprint(c, peer.at)
+			over := make(chan struct{})
+			go func() {
+				defer close(over)
+				io.Copy(io.Discard, c) // an answer, and then the close
+			}()
+			for ended := false; !ended; {
+				if peer.drip != "" {
+					io.WriteString(c, peer.drip)
+				}
+				select {
+				case <-over:
+					ended = true
+				case <-time.After(50 * time.Millisecond):
+				}
+			}
+			if took := time.Since(from); took > 3*time.Second {
+				t.Errorf("ended after %v", took)
+			}
+			if b.count() != 0 {
+				t.Errorf("%d arrivals", b.count())
+			}
+		})
+	}
+}
+
+// A request may wait for longer than it may take to come.
+func TestRequestOutlivesTheTimeToBringIt(t *testing.T) {
+	t.Parallel()
+	release := make(chan struct{})
+	a, _ := one(t, func(c net.Conn, req *http.Request, n int) bool {
+		<-release
+		return serving(c, req, n)
+	})
+	time.AfterFunc(requestTime+500*time.Millisecond, func() { close(release) })
+	status, _, _ := a.ask(newRequest(a.addr, "order", "x"))
+	wantStatus(t, status, 200)
+}
--- a/internal/agent/front.go
+++ b/internal/agent/front.go
@@ -24,6 +24,9 @@
 	// linger is how long connections still come after SIGTERM: 0.4 s at most, and
 	// what stands in the accept queue by then.
 	linger = 500 * time.Millisecond
+	// headTime and requestTime bound how long a request's head, and all of it, may take
+	// to come. Peers that bring none are owed an error or a close 3 s after connecting.
+	headTime, requestTime = 2 * time.Second, 2500 * time.Millisecond
 	// maxTimeout bounds the time that a client may give.
 	maxTimeout = 60_000
 )
@@ -50,8 +53,8 @@
 	f.conns = newClientConns(cfg.clientConns())
 	f.server = &http.Server{
 		Handler:           f,
-		ReadHeaderTimeout: 5 * time.Second,
-		ReadTimeout:       10 * time.Second,
+		ReadHeaderTimeout: headTime,
+		ReadTimeout:       requestTime,
 		WriteTimeout:      maxTimeout*time.Millisecond + 10*time.Second, // counts from the request's head
 		IdleTimeout:       2 * time.Minute,
 		MaxHeaderBytes:    16 << 10,
