Leave a server's window as it is when a failure was answered

Evidence: the module's view in the log shows its windows shrink from 37 attempts over all ten servers at 2 s to 14 at 5 s and stay there, with 7 to 13 attempts in flight and up to 120 requests held. 5% to 9% of the attempts end as resets, each halves the window of its server, and a window grows by one in as many answers as it holds. The module's own comment says that errors and lost connections tell nothing of crowds.

Ruled out: probes and holds (with a broken-off probe no longer taken for silence most servers are back within milliseconds); load shedding (shed 0 in most seconds).

At fault: demote() in policy/policy.go. Only a silent failure halves the window now; a failure still demotes, and late and full answers still shrink the window.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -768,7 +768,9 @@
 		b.enter(s, Unhealthy)
 		s.silent = silent
 		s.good, s.lat, s.samples = 0, 0, 0
-		s.window = max(s.window/2, 1)
+		if silent { // a failure that was answered tells nothing of a crowd
+			s.window = max(s.window/2, 1)
+		}
 	}
 	b.refetch()
 }
