Send on another connection what a broken kept one never brought to its backend

A break before the last byte is written proves that nothing ran, so it need not end the attempt: the message goes out on the next connection, a new one at the last, and still counts once. The same code took the agent's own lack of descriptors for the server's failure and demoted it for silence; that is told as a full answer now, which demotes nobody.

--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -1046,3 +1046,36 @@
 	status, _, _ := a.ask(newRequest(a.addr, "order", "x"))
 	wantStatus(t, status, 200)
 }
+
+// brokenConn looks open until it is written to.
+type brokenConn struct{ net.Conn }
+
+func (brokenConn) Write([]byte) (int, error) { return 0, syscall.EPIPE }
+
+// A kept connection that breaks before the last byte is written says nothing of its
+// backend, and the request goes out on another; lack of descriptors neither.
+func TestBrokenKeptConnectionAndOwnLackAccuseNobody(t *testing.T) {
+	b := newBackend(t, serving)
+	p := &pool{connectTimeout: patience, keepalive: time.Minute, max: 2, idle: map[string][]*conn{}}
+	for range 2 {
+		x, y := net.Pipe()
+		defer y.Close()
+		p.idle[b.addr] = append(p.idle[b.addr], &conn{Conn: brokenConn{x}, br: bufio.NewReader(x), addr: b.addr,
+			uses: 1, since: time.Now()})
+		p.open++
+	}
+	req := newRequest(b.addr, "order", "x")
+	c := &call{method: req.Method, url: req.URL, header: req.Header, body: []byte("x")}
+	now := time.Now()
+	if res := p.do(t.Context(), &backend{}, b.addr, c, now, now.Add(patience)); res.status != policy.OK {
+		t.Errorf("ended as %d (%s), want %d", res.status, res.why, policy.OK)
+	}
+	if b.count() != 1 || p.size() != 1 {
+		t.Errorf("%d arrivals and %d connections, want 1 and 1", b.count(), p.size())
+	}
+	p.hangUp(b.addr)
+	p.max = 0
+	if res := p.do(t.Context(), &backend{}, b.addr, c, now, now.Add(patience)); res.status != policy.Full {
+		t.Errorf("no descriptor: ended as %d, want %d", res.status, policy.Full)
+	}
+}
--- a/internal/agent/backend.go
+++ b/internal/agent/backend.go
@@ -122,14 +122,34 @@
 	return r
 }
 
-// exchange writes one message, made by wire for the time that is left, and reads its answer.
+// exchange writes one message, made by wire for the time that is left, and reads its
+// answer. A kept connection that turns out broken before the last byte is written has
+// brought nothing to the backend and says nothing of it: the message goes out on the
+// next one, and on a new one at the last.
 func (p *pool) exchange(ctx context.Context, b *backend, addr, method string,
 	wire func(left time.Duration) ([]byte, error), deadline time.Time) result {
-	cn, err := p.get(ctx, addr, deadline)
-	if err != nil {
-		// Refused, never came up, or no descriptor: not a byte was sent.
-		return result{status: policy.ConnectFailed, why: err.Error()}
+	for {
+		cn, err := p.get(ctx, addr, deadline)
+		switch {
+		case errors.Is(err, errTooMany), errors.Is(err, syscall.EMFILE), errors.Is(err, syscall.ENFILE):
+			// This agent's own lack: the backend must not be demoted for it.
+			return result{status: policy.Full, why: err.Error()}
+		case err != nil:
+			// Refused or never came up: not a byte was sent.
+			return result{status: policy.ConnectFailed, why: err.Error()}
+		}
+		kept := cn.uses > 0
+		r, unsent := p.over(ctx, cn, b, method, wire, deadline)
+		if !unsent || !kept || ctx.Err() != nil || !time.Now().Before(deadline) {
+			return r
+		}
 	}
+}
+
+// over makes the exchange on one connection; unsent tells that the connection broke
+// before the last byte was written.
+func (p *pool) over(ctx context.Context, cn *conn, b *backend, method string,
+	wire func(left time.Duration) ([]byte, error), deadline time.Time) (r result, unsent bool) {
 	reusable := false
 	// Withdrawing makes whatever reads or writes end at once.
 	stop := context.AfterFunc(ctx, func() { cn.SetDeadline(time.Unix(1, 0)) })
@@ -144,42 +164,46 @@
 	}()
 	cn.SetDeadline(deadline)
 	if ctx.Err() != nil {
-		return result{status: policy.ConnectFailed}
+		return result{status: policy.ConnectFailed}, false
 	}
 	out, err := wire(time.Until(deadline))
 	if err != nil {
-		return result{status: policy.ConnectFailed, why: err.Error()}
+		return result{status: policy.ConnectFailed, why: err.Error()}, false
 	}
 	// The connect may have taken long: the drain grace runs from the telling, so
 	// nothing is begun on a backend that was told to drain meanwhile.
 	if b.closed.Load() {
 		reusable = true
-		return result{status: policy.ConnectFailed, why: "drains or gone"}
+		return result{status: policy.ConnectFailed, why: "drains or gone"}, false
 	}
 	if n, err := cn.Write(out); err != nil {
 		if n < len(out) {
 			// The last byte never left, and the connection is closed: it cannot run.
-			return result{status: policy.ConnectFailed, why: cn.story(err)}
+			return result{status: policy.ConnectFailed, why: cn.story(err)}, true
 		}
-		return result{status: broken(err), why: cn.story(err)}
+		return result{status: broken(err), why: cn.story(err)}, false
 	}
+	r, reusable = p.read(cn, method)
+	return r, false
+}
+
+// read reads the answer, and tells whether the connection may carry another message.
+func (p *pool) read(cn *conn, method string) (r result, reusable bool) {
 	resp, body, err := readAnswer(cn.br, method)
 	if resp == nil {
-		return result{status: broken(err), why: cn.story(err)}
+		return result{status: broken(err), why: cn.story(err)}, false
 	}
-	res := result{report: p.report(resp.Header)}
+	r.report = p.report(resp.Header)
 	if err != nil {
-		res.status, res.why = broken(err), cn.story(err)
-		return res
+		r.status, r.why = broken(err), cn.story(err)
+		return r, false
 	}
-	reusable = !resp.Close && cn.br.Buffered() == 0
-	res.status = outcome(resp)
-	if res.status == policy.OK {
-		res.header, res.body = resp.Header, body
+	if r.status = outcome(resp); r.status == policy.OK {
+		r.header, r.body = resp.Header, body
 	} else {
-		res.why = resp.Status
+		r.why = resp.Status
 	}
-	return res
+	return r, !resp.Close && cn.br.Buffered() == 0
 }
 
 // broken maps what ended an attempt whose last byte was written: it may have run.
