Learn how long a backend connection may idle before it is often lost

Ruled out: the age of a connection and the number of requests it carried (9% to 14% whatever it is); one server (all ten alike).

At fault: newPool() in internal/agent/backend.go, which took half of the settings' time for safe. Uses and losses are now counted by idle time, fading over some 5,000 uses; from the time on past which losses are well above those of shorter ones, an idle connection is closed instead of used. Nothing is assumed of what that time is: where losses don't depend on idling, the settings' time stays.

--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -1079,3 +1079,34 @@
 		t.Errorf("no descriptor: ended as %d, want %d", res.status, policy.Full)
 	}
 }
+
+// A backend that drops idle connections without a sign costs a request now and then,
+// not each one that comes after a pause.
+func TestConnectionsThatIdleTooLongAreNotUsed(t *testing.T) {
+	p := &pool{connectTimeout: patience, keepalive: time.Minute, max: 8, idle: map[string][]*conn{}}
+	b := newBackend(t, serving)
+	req := newRequest(b.addr, "order", "x")
+	c := &call{method: req.Method, url: req.URL, header: req.Header, body: []byte("x")}
+	p.times.feed(100, 0, 0)
+	p.times.feed(100, 200*time.Millisecond, 2)
+	for _, idled := range []time.Duration{10 * time.Millisecond, 300 * time.Millisecond} {
+		now := time.Now()
+		if res := p.do(t.Context(), &backend{}, b.addr, c, now, now.Add(patience)); res.status != policy.OK {
+			t.Fatalf("ended as %d (%s)", res.status, res.why)
+		}
+		p.idle[b.addr][0].since = time.Now().Add(-idled)
+	}
+	now := time.Now()
+	p.do(t.Context(), &backend{}, b.addr, c, now, now.Add(patience))
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.arrivals != 3 {
+		t.Errorf("%d arrivals, want 3", b.arrivals)
+	}
+	if got := p.size(); got != 1 {
+		t.Errorf("%d connections, want the new one alone", got)
+	}
+	if uses := p.idle[b.addr][0].uses; uses != 1 {
+		t.Errorf("the third request was number %d on its connection", uses)
+	}
+}
--- a/internal/agent/backend.go
+++ b/internal/agent/backend.go
@@ -37,6 +37,7 @@
 type result struct {
 	status    policy.Status
 	why       string // what ended a failed attempt, for the log
+	cut       bool   // the connection broke before any answer
 	latencyMs float64
 	report    []float32
 	header    http.Header
@@ -53,25 +54,26 @@
 	max            int
 	reportNames    []string
 
-	mu   sync.Mutex
-	idle map[string][]*conn // by address, the most recently used last
-	open int
+	mu    sync.Mutex
+	idle  map[string][]*conn // by address, the most recently used last
+	open  int
+	times idleTimes
 }
 
 type conn struct {
 	net.Conn
-	br      *bufio.Reader
-	addr    string
-	made    time.Time
-	since   time.Time // idle since
-	uses    int       // requests carried
-	idledMs int64     // before the one it carries now
+	br    *bufio.Reader
+	addr  string
+	made  time.Time
+	since time.Time     // idle since
+	uses  int           // requests carried
+	idled time.Duration // before the one it carries now
 }
 
 // story tells what broke a connection, and whether it was a kept one.
 func (c *conn) story(err error) string {
 	return fmt.Sprintf("%v on request %d of a connection of %d ms that had idled %d ms", err, c.uses,
-		time.Since(c.made).Milliseconds(), c.idledMs)
+		time.Since(c.made).Milliseconds(), c.idled.Milliseconds())
 }
 
 var errTooMany = errors.New("no descriptor left for a connection")
@@ -140,6 +142,9 @@
 		}
 		kept := cn.uses > 0
 		r, unsent := p.over(ctx, cn, b, method, wire, deadline)
+		if kept {
+			p.note(cn.idled, unsent || r.cut)
+		}
 		if !unsent || !kept || ctx.Err() != nil || !time.Now().Before(deadline) {
 			return r
 		}
@@ -191,7 +196,8 @@
 func (p *pool) read(cn *conn, method string) (r result, reusable bool) {
 	resp, body, err := readAnswer(cn.br, method)
 	if resp == nil {
-		return result{status: broken(err), why: cn.story(err)}, false
+		s := broken(err)
+		return result{status: s, why: cn.story(err), cut: s == policy.Reset}, false
 	}
 	r.report = p.report(resp.Header)
 	if err != nil {
@@ -298,9 +304,9 @@
 		}
 		cn := list[len(list)-1]
 		p.idle[addr] = list[:len(list)-1]
+		limit := p.times.limit(p.keepalive)
 		p.mu.Unlock()
-		if time.Since(cn.since) < p.keepalive && alive(cn.Conn) {
-			cn.idledMs = time.Since(cn.since).Milliseconds()
+		if cn.idled = time.Since(cn.since); cn.idled < limit && alive(cn.Conn) {
 			return cn, nil
 		}
 		p.close(cn)
@@ -360,6 +366,20 @@
 	p.mu.Unlock()
 }
 
+// note takes the use of a kept connection for what is known of idle times.
+func (p *pool) note(idled time.Duration, lost bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.times.note(idled, lost)
+}
+
+// idleLimit is how long a connection may idle by what is known now.
+func (p *pool) idleLimit() time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.times.limit(p.keepalive)
+}
+
 // size is the number of connections that are open or being opened.
 func (p *pool) size() int {
 	p.mu.Lock()
@@ -382,9 +402,10 @@
 func (p *pool) sweep() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	limit := p.times.limit(p.keepalive)
 	for addr, list := range p.idle {
 		n := 0
-		for n < len(list) && time.Since(list[n].since) >= p.keepalive {
+		for n < len(list) && time.Since(list[n].since) >= limit {
 			p.open--
 			list[n].Close()
 			n++
--- a/internal/agent/loop.go
+++ b/internal/agent/loop.go
@@ -575,7 +575,7 @@
 }
 
 func (l *loop) logFigures() {
-	l.write(slog.LevelInfo, "figures", "open", l.open, "backend_conns", l.pool.size(),
+	l.write(slog.LevelInfo, "figures", "open", l.open, "backend_conns", l.pool.size(), "idle_limit", l.pool.idleLimit(),
 		"module", fmt.Sprintf("%+v", l.balancer.View()),
 		"counts", fmt.Sprintf("%+v", l.figures))
 }
