Check the head of a server's answer before it is read: bound, start, one framing

Most end the attempt at once; those with a head that never ends did not: the attempt went on to the client's deadline (303 after 629 to 991 ms, the longest way to fail), holding its place in the server's window, while the library stored all that came. Each such attempt also counted its server as silent.

At fault: readAnswer() in internal/agent/backend.go, which gave the library an unbounded head to read. Now a head is 16 KiB at most and has to begin as HTTP does, so the answer fails when it is known to be bad, and keyed requests have time for another server of their cell.

--- a/internal/agent/backend.go
+++ b/internal/agent/backend.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"net/url"
+	"regexp"
 	"strconv"
 	"strings"
 	"sync"
@@ -20,8 +21,8 @@
 	"clayproxy.example/clayproxy/policy"
 )
 
-// maxBody is the largest body of a message.
-const maxBody = 64 << 10
+// maxBody is the largest body of a message, maxHead the largest head of an answer.
+const maxBody, maxHead = 64 << 10, 16 << 10
 
 // backend is one listed server. Its fields belong to the loop, but for closed.
 type backend struct {
@@ -244,6 +245,9 @@
 // that no head could be read.
 func readAnswer(br *bufio.Reader, method string) (*http.Response, []byte, error) {
 	for range 8 { // interim answers that may come ahead
+		if err := checkHead(br); err != nil {
+			return nil, nil, err
+		}
 		resp, err := http.ReadResponse(br, &http.Request{Method: method})
 		if err != nil {
 			return nil, nil, err
@@ -265,6 +269,37 @@
 	return nil, nil, errors.New("too many interim answers")
 }
 
+// checkHead waits for a whole head without taking it from br, whose size bounds it, and
+// refuses what the library would read in its own way: it holds a line of any length, and
+// reads an answer with two framings by its chunks, though the other might be meant and
+// its rest be taken for the next answer.
+func checkHead(br *bufio.Reader) error {
+	const start = "HTTP/1."
+	for n := 1; ; n = br.Buffered() + 1 {
+		if _, err := br.Peek(n); err != nil {
+			return err
+		}
+		head, _ := br.Peek(br.Buffered())
+		if k := min(len(start), len(head)); string(head[:k]) != start[:k] {
+			return errors.New("answer is not HTTP")
+		}
+		end := endOfHead.FindIndex(head)
+		if end == nil {
+			continue
+		}
+		if head = head[:end[0]]; lengthField.Match(head) && codingField.Match(head) {
+			return errors.New("answer has two framings")
+		}
+		return nil
+	}
+}
+
+var (
+	endOfHead   = regexp.MustCompile(`\n\r?\n`)
+	lengthField = regexp.MustCompile(`(?i)\ncontent-length[ \t]*:`)
+	codingField = regexp.MustCompile(`(?i)\ntransfer-encoding[ \t]*:`)
+)
+
 // report reads a load report in the order the settings name its values; one that
 // is not whole is none.
 func (p *pool) report(h http.Header) []float32 {
@@ -325,7 +360,7 @@
 		p.mu.Unlock()
 		return nil, err
 	}
-	return &conn{Conn: nc, br: bufio.NewReaderSize(nc, 4<<10), addr: addr, made: time.Now()}, nil
+	return &conn{Conn: nc, br: bufio.NewReaderSize(nc, maxHead), addr: addr, made: time.Now()}, nil
 }
 
 // evict closes the connection that has been idle longest, to make room for
