Measure each server's crowd by its own calm, not by the fleet's alone

Evidence: the refused waited for room; servers answered "full" 0 times; the module's windows summed to 17 to 24 over ten servers with 7 to 17 attempts in flight. 41% of the machines are of the slow kind, half as fast. At rest they take about 0.45 of the aim, above the limit for all, which is one and a half times the fleet's calm (itself taken as a quarter of the aim at most): calm slow machines were cut as crowded ones.

Ruled out: the limit as such.

At fault: limit() in policy/policy.go. A server's limit comes from its own least mean now where that is more than the fleet's calm, still at half the aim at the most; a new process starts unknown.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -20,6 +20,8 @@
 	// crowdFactor is how many times the fleet's calm answer time a server's mean may be
 	// before it counts as crowded: enough to keep its cores busy, too little to tip it.
 	crowdFactor = 1.5
+	// calmSamples is the number of answers by which a server's own calm is known.
+	calmSamples = 8
 	// firstWindow is the number of attempts an unmeasured server may hold.
 	firstWindow = 2.0
 	// learnFor is the number of answers that make the first measure of calm; until
@@ -727,7 +729,7 @@
 // is slow before it is crowded (i5d0607: only cold ones were left).
 func (b *Balancer) limit(s *server) float64 {
 	least := 2 * crowdShare / (2 + float64(b.set.Replicas))
-	return min(crowdShare, max(crowdFactor*b.calmLat, least)) / b.ramp(s)
+	return min(crowdShare, max(crowdFactor*max(b.calmLat, s.calm), least)) / b.ramp(s)
 }
 
 // calmRise is how fast calm follows longer answer times: hardly, or a crowd would
@@ -755,6 +757,9 @@
 func (b *Balancer) learn(s *server, x float64) {
 	s.samples++
 	s.lat = mean(s.lat, x, max(smooth, 1/float64(s.samples)))
+	if s.samples >= calmSamples && (s.calm == 0 || s.lat < s.calm) {
+		s.calm = s.lat
+	}
 }
 
 func (b *Balancer) cut(s *server, by, least float64) {
@@ -892,7 +897,7 @@
 		// A new process: nothing known of the old one holds, and it is cold.
 		s.listedAt = since
 		s.startedAt, s.state, s.since, s.silent = since, Unknown, b.now, false
-		s.strikes, s.good, s.lat, s.samples, s.window = 0, 0, 0, 0, 1
+		s.strikes, s.good, s.lat, s.calm, s.samples, s.window = 0, 0, 0, 0, 0, 1
 		// A part of a request by chance: of many agents that never earn a whole one, as
 		// many send one as together earned one (ia9314f: new servers were left idle).
 		s.credit = b.rng.Float64()
--- a/policy/state.go
+++ b/policy/state.go
@@ -29,6 +29,7 @@
 	out       []*attempt // attempts out, oldest first
 	heard     float64    // when it last answered anything
 	lat       float64    // mean answer time as a part of the aim
+	calm      float64    // the least that lat has been
 	samples   int
 	window    float64 // attempts it may hold of this agent
 	cutAt     float64
