Refuse a request at once when it can only be late and room is scarce

Evidence: the course of such requests shows attempts="" and after_ms just short of of_ms. Held requests are served the newest first among equals, so one that has missed its aim is passed over for newer ones until its time is up: the module has given it up long before it says so.

Ruled out: the network code (its backstop ended none of them); load shedding (those are refused at 0 ms).

At fault: expire() in policy/policy.go, which waited for the deadline wherever a class earns something for late answers. While room is scarce the aim is the end now, and the refusal carries its Retry-After while the client has time to act on it.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -283,12 +283,13 @@
 }
 
 // expire ends held requests that can no longer earn anything: refused early,
-// before they cost server work.
+// before they cost server work. While room is scarce, one that can only be late is
+// passed over for newer ones until its time is up: it is told at once instead.
 func (b *Balancer) expire() {
 	for i := 0; i < len(b.held); {
 		r := b.held[i]
 		last := r.aimAt
-		if b.set.Classes[r.class].LateShare > 0 {
+		if b.set.Classes[r.class].LateShare > 0 && !b.scarce {
 			last = r.deadline
 		}
 		if b.now+b.expected(r) > last || b.now >= r.deadline {
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -1071,3 +1071,25 @@
 		t.Error("a new process has the calm of the old one")
 	}
 }
+
+// A request that found no room until it can't meet its aim is refused then, with the
+// time left to its client and advice, and not just before its deadline.
+func TestHopelessRequestIsRefusedAtOnce(t *testing.T) {
+	set := testSettings()
+	for i := range set.Classes {
+		set.Classes[i].LateShare = 0.25
+	}
+	r := newRig(t, set, 1)
+	for range int(firstWindow) {
+		r.sent(1, 0)
+	}
+	id, _ := r.ask(1, 0)
+	if a := find(r.tick(set.Classes[1].AimMs/2), ActRefuse); a != nil {
+		t.Fatalf("refused %d while it could meet its aim", a.Request)
+	}
+	// Past the aim less the time of an answer, far from the deadline at 600 ms.
+	a := find(r.tick(set.Classes[1].AimMs/2-10), ActRefuse)
+	if a == nil || a.Request != id || a.Ms <= 0 {
+		t.Errorf("not refused with advice: %+v", a)
+	}
+}
