Keep no room for attempts whose answer is lost

Evidence: the failed ones end 303 at their deadline, after 660 or 990 ms, at every server and on new and kept connections alike, while answers take 57 ms and their p99 is 180 ms: 4% of the answers are lost, and each lost one holds its place in its server's window for ten to fifteen answer times. With 25 to 29 attempts in flight and windows of 28 to 32 in all, a third to a half of the room was held by attempts that nothing came of.

Ruled out: crowded servers (p99 of answers flat, 0 to 87 full a stretch); the idle time of connections (76 of 108 had idled under 20 ms); refused connects (1).

At fault: hasRoom() and takes() in policy/policy.go, which counted every attempt that was out. One that is older than six of its server's answer times, while the server has long since answered later ones, counts no more.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -22,6 +22,8 @@
 	crowdFactor = 1.5
 	// calmSamples is the number of answers by which a server's own calm is known.
 	calmSamples = 8
+	// lostAfter is how many answer times of its server make an overtaken attempt a lost one.
+	lostAfter = 6.0
 	// firstWindow is the number of attempts an unmeasured server may hold.
 	firstWindow = 2.0
 	// learnFor is the number of answers that make the first measure of calm; until
@@ -392,7 +394,19 @@
 // last pick and has room.
 func (b *Balancer) takes(s *server, r *request) bool {
 	share := s.weight * b.ramp(s) / r.tierWeight
-	return float64(len(s.out)) < math.Ceil(capFactor*float64(b.inflight+1)*share) && b.hasRoom(s, r)
+	return float64(b.holds(s)) < math.Ceil(capFactor*float64(b.inflight+1)*share) && b.hasRoom(s, r)
+}
+
+// holds is the number of attempts that a server is at work on: one that was overtaken by
+// answers to later ones for several answer times is lost, and keeps no room till its end.
+func (b *Balancer) holds(s *server) int {
+	n := len(s.out)
+	for _, a := range s.out {
+		if t := lostAfter * max(b.expected(a.r), s.rtt); b.now-a.sentAt > t && s.heard-a.sentAt > t/2 {
+			n--
+		}
+	}
+	return n
 }
 
 // hasRoom bounds what a server holds of this agent: its window, one at a time
@@ -403,7 +417,7 @@
 	}
 	// A window under one is kept by pausing: with many agents even one attempt of
 	// each can be too much, and a server that tipped needs rest to recover.
-	if len(s.out) >= max(int(s.window), 1) || s.window < 1 && b.now-s.sentAt < s.rtt/s.window {
+	if b.holds(s) >= max(int(s.window), 1) || s.window < 1 && b.now-s.sentAt < s.rtt/s.window {
 		return false
 	}
 	return b.ramp(s) == 1 || s.credit >= b.cost(r) ||
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -1093,3 +1093,28 @@
 		t.Errorf("not refused with advice: %+v", a)
 	}
 }
+
+// An attempt whose answer is lost keeps no room at a server that goes on answering
+// others; one that was not overtaken does.
+func TestLostAttemptKeepsNoRoom(t *testing.T) {
+	r := newRig(t, testSettings(), 1)
+	lost, s := r.sent(1, 0)
+	srv := r.b.byAddr[s]
+	for range 12 { // 480 ms, and the lost one has 600
+		r.now += 5
+		id, _ := r.sent(1, 0)
+		r.now += 35
+		r.outcome(id, 0, s, OK, 35)
+	}
+	if got := r.b.holds(srv); got != 0 || len(srv.out) != 1 {
+		t.Errorf("it holds %d with %d out, want 0 and 1", got, len(srv.out))
+	}
+	r.sent(1, 0)
+	if got := r.b.holds(srv); got != 1 {
+		t.Errorf("it holds %d, want the new one", got)
+	}
+	r.outcome(lost, 0, s, Timeout, 600)
+	if got := r.b.holds(srv); got != 1 || len(srv.out) != 1 {
+		t.Errorf("it holds %d with %d out after the end of the lost one", got, len(srv.out))
+	}
+}
