Pass a request's id and key on whatever its Connection field lists

A backend answers 404 to a request without an id, and without the key it can't drop a repeat. PROTOCOL has both passed on unchanged, so they are restored.

--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -39,6 +39,9 @@
 	})
 	req := newRequest(a.addr, "send", "hello")
 	req.URL.RawQuery = "a=1&b=%20"
+	// What a client says of its connection does not take away what names its request.
+	req.Header.Set("Connection", "Request-Id, Idempotency-Key, X-Hop")
+	req.Header.Set("X-Hop", "1")
 	status, header, body := a.ask(req)
 	wantStatus(t, status, 200)
 	if want := "POST /api/00000000000000a1?a=1&b=%20 hello"; body != want {
@@ -49,7 +52,7 @@
 	}
 	mu.Lock()
 	defer mu.Unlock()
-	if seen.Get("Request-Id") != "1" || seen.Get("Idempotency-Key") != "k1" {
+	if seen.Get("Request-Id") != "1" || seen.Get("Idempotency-Key") != "k1" || seen.Get("X-Hop") != "" {
 		t.Errorf("the backend got %v", seen)
 	}
 	var left int
--- a/internal/agent/backend.go
+++ b/internal/agent/backend.go
@@ -477,6 +477,10 @@
 var hop = []string{"Connection", "Keep-Alive", "Proxy-Connection", "Te", "Trailer",
 	"Transfer-Encoding", "Upgrade", "Expect", "Content-Length"}
 
+// identity names the fields that make a request the client's own at its backend: they
+// are passed on whatever its Connection field lists.
+var identity = []string{"Request-Id", "Idempotency-Key"}
+
 func endToEnd(h http.Header) http.Header {
 	out := h.Clone()
 	for _, list := range h.Values("Connection") {
@@ -493,6 +497,11 @@
 // wire is the request as it goes to a backend, told how long the agent waits.
 func (c *call) wire(left time.Duration) ([]byte, error) {
 	h := endToEnd(c.header)
+	for _, name := range identity {
+		if values := c.header.Values(name); len(values) > 0 {
+			h[name] = values
+		}
+	}
 	h.Set("Request-Timeout-Ms", strconv.FormatInt(max(left.Milliseconds(), 1), 10))
 	if h.Get("User-Agent") == "" {
 		h.Set("User-Agent", "") // none rather than the library's
