Bound what an agent has out at all servers when most answers meet a crowd

An agent sees each server answer once in three seconds: a window of its own never follows. Ruled out: the windows' sum as a bound (it is never reached), shedding (it starts 3 s after the collapse, by lateness), lack of capacity (answers stay at 650 a second when 1,300 had been served before, with all 60 servers back). At fault: nothing in policy/policy.go bounds what an agent has out but windows per server. Now each agent keeps one room for all its attempts, cut when half of its answers of late took a quarter longer than its mean at ease, never under one attempt at each server of all agents.

To make room in the module the line of answer time over hinted work is gone: no request of this deployment carries a hint. Its cost for cold servers stays.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -36,9 +36,6 @@
 	// keyServers nearest its key: going on at once would lose the warm key and
 	// warm it up elsewhere, just when servers are short of time.
 	keyWait, keyServers = 0.25, 2
-	// hopeless is the part of its expected time that a hinted request needs at the
-	// least: hints are rough, a warm key saves work, and some servers are quicker.
-	hopeless = 0.7
 	// keyPart is the most of a server's even share that one part of a key may bring: the
 	// sum over parts is what makes servers unequal. keyMemory is the number of requests,
 	// for each part there may be, by which a key's share is known.
@@ -54,6 +51,11 @@
 	// shedMemory is the number of tries by which an agent knows what part of them is served
 	// in time; under 1/shedFactor of them it refuses some, never more than shedMost.
 	shedMemory, shedFactor, shedMost = 20.0, 1.5, 0.8
+	// easeFactor times the mean answer at ease is a crowd at all servers, and so is easeMost of
+	// the aim, whatever was ease.
+	easeFactor, easeMost = 1.25, 0.6
+	// crowdSmooth is the weight of one answer in the part of late that met a crowd.
+	crowdSmooth = 1.0 / 16
 	// loadFactor is how many times the mean of the reported requests a server may hold.
 	loadFactor = 1.5
 	// smooth is the weight of one answer in a server's mean, slowSmooth in a fleet-wide one.
@@ -84,7 +86,7 @@
 	}
 	b := &Balancer{set: set, rng: rand.New(rand.NewPCG(seed, mix(seed))), byAddr: map[Addr]*server{},
 		requests: map[RequestID]*request{}, keys: map[uint64]float64{}, mayProbe: probeCap,
-		own: ownLeast, again: againMost, tried: shedMemory / 2, gained: shedMemory / 2,
+		own: ownLeast, room: math.Inf(1), again: againMost, tried: shedMemory / 2, gained: shedMemory / 2,
 		usage:  make([]float64, len(set.Tenants)),
 		aimMin: math.Inf(1), lookedAt: math.Inf(-1)}
 	for _, c := range set.Classes {
@@ -197,11 +199,6 @@
 		b.end(r)
 		return
 	}
-	// A request whose hinted work cannot fit the aim anywhere would only keep
-	// others waiting: the costly few of a heavy tail.
-	if r.hint > 0 && c.LateShare == 0 && hopeless*b.hintedTime(r) > r.aimAt-b.now {
-		b.end(r)
-	}
 }
 
 // spot is where a key's hash starts. A key with more than keyPart of a server's share of
@@ -262,8 +259,13 @@
 	// A request that waits for the servers of its key finds no room where the next
 	// does: it is passed over. Of those that take any server a few failures tell.
 	b.scarce = false
+	lost := b.lost()
 	for i, failures := 0, 0; i < len(b.held) && failures < 4; {
 		r := b.held[i]
+		if !b.roomFor(b.inflight - lost) {
+			b.scarce = true
+			break
+		}
 		if b.waits(r) && r.epoch == b.epoch && !b.takes(r.near[0], r) && !b.takes(r.near[1], r) {
 			i++
 			continue
@@ -424,6 +426,51 @@
 			b.cost(r)*b.set.Contract.ColdMs
 }
 
+// lost is the number of attempts out at servers that have fallen silent.
+func (b *Balancer) lost() int {
+	n := 0
+	for _, s := range b.servers {
+		if s.state >= UnhealthyPending && s.silent {
+			n += len(s.out)
+		}
+	}
+	return n
+}
+
+// roomFor bounds what the agent has out at all servers together, the same way as a window
+// bounds what it has at one.
+func (b *Balancer) roomFor(out int) bool {
+	return float64(out) < max(b.room, 1) && (b.room >= 1 || b.now-b.sentAt >= b.calmLat*b.aimMin/b.room)
+}
+
+// sense keeps the agent's room. Of many servers each answers one of many agents too seldom
+// for its window to follow a crowd: by the time it did, all would have tipped. But when most
+// answers of late took longer than their servers' limit, all are crowded, and each agent
+// sees that within a second or so: it has less out, by steps that it waits to see the
+// effect of, until they are not.
+func (b *Balancer) sense(a *attempt, crowded bool) {
+	x := 0.0
+	if crowded {
+		x = 1
+	}
+	b.over += crowdSmooth * (x - b.over)
+	out := float64(b.inflight - b.lost() + 1)
+	switch {
+	case b.over > 0.5 && a.sentAt >= b.roomCutAt:
+		// One at each server of all agents together is no crowd.
+		least := float64(len(b.servers)) / float64(max(b.set.Replicas, 1))
+		b.room, b.roomCutAt = max(min(b.room, out)*0.85, least, leastWindow), b.now
+	case b.over < 0.5 && out+1 > b.room:
+		b.room += min(1/b.room, b.room)
+	}
+}
+
+// easeLimit is the part of the aim over which the median answer of all servers means a
+// crowd: with the spread that answers have it is half as long again as when at ease.
+func (b *Balancer) easeLimit() float64 {
+	return min(max(easeFactor*b.ease, crowdShare/2), easeMost)
+}
+
 // coldShare is the part of an even share that a server may be sent: of a cold one
 // what keeps the contract, so that its keys move to it as it warms up, instead of
 // waiting for it.
@@ -632,14 +679,15 @@
 		// request; it counts as slow.
 		b.rest(s)
 		if s.heard > a.sentAt {
-			b.learnHint(a.r, ev.LatencyMs)
 			b.learn(s, b.partOfAim(a.r, ev.LatencyMs))
+			b.sense(a, true)
 		} else {
 			b.demote(s, true)
 		}
 	case Full:
 		s.heard = b.now
 		b.cut(s, 0.7, 1)
+		b.sense(a, true)
 		b.rest(s)
 	}
 }
@@ -682,7 +730,6 @@
 	s, r, rtt := a.s, a.r, ev.LatencyMs
 	b.earn(s, a.cost)
 	b.again = min(b.again+againShare, againMost)
-	b.learnHint(r, rtt)
 	b.heardFrom(s)
 	s.rtt = mean(s.rtt, rtt, smooth)
 	c := &b.set.Classes[r.class]
@@ -699,6 +746,10 @@
 	x := b.partOfAim(r, rtt)
 	b.answers++
 	b.fleetLat = mean(b.fleetLat, x, max(slowSmooth, 1/b.answers))
+	b.ease = min(b.fleetLat, mean(b.ease, b.fleetLat, slowSmooth/10))
+	if b.answers < learnFor {
+		b.ease = b.fleetLat
+	}
 	switch {
 	case b.answers <= learnFor:
 		// One quick answer must not set the measure, nor a crowd at the start (id08146).
@@ -713,6 +764,9 @@
 		b.rest(s)
 	}
 	limit := b.limit(s)
+	if b.answers >= learnFor {
+		b.sense(a, x > min(max(limit, b.easeLimit()/b.ramp(s)), 1))
+	}
 	if s.state == Unhealthy && a.sentAt < s.since && !s.silent {
 		return // sent before the failure: says nothing about what came after
 	}
--- a/policy/state.go
+++ b/policy/state.go
@@ -103,6 +103,10 @@
 	epoch     uint64  // counts changes of tiers and list
 	own       float64 // how much more a server of the own zone weighs
 	inflight  int
+	room      float64 // attempts that it may have out at all servers
+	roomCutAt float64
+	ease      float64 // the least that fleetLat has been of late
+	over      float64 // part of the answers of late that met a crowded server
 	load      float64 // mean reported requests for weight one
 	sentAt    float64 // last attempt
 	gap       float64 // mean time between attempts
@@ -113,11 +117,6 @@
 	mayProbe  float64   // probes that may be sent
 	expect    []float64 // per class: mean answer time
 	meanHint  float64
-	hints     float64 // answers to hinted requests, and their means and spread
-	hintMean  float64
-	hintTime  float64
-	hintVar   float64
-	hintCov   float64
 	answers   float64   // served so far
 	fleetLat  float64   // mean answer time as a part of the aim, all servers
 	calmLat   float64   // the same when nothing is crowded
@@ -174,29 +173,6 @@
 	b.keys[key]++
 }
 
-// learnHint keeps the straight line of answer time over hinted work: the network's
-// share does not grow with the work.
-func (b *Balancer) learnHint(r *request, rtt float64) {
-	if r.hint <= 0 {
-		return
-	}
-	b.hints++
-	w := max(slowSmooth, 1/b.hints)
-	dh, dt := r.hint-b.hintMean, rtt-b.hintTime
-	b.hintMean += w * dh
-	b.hintTime += w * dt
-	b.hintVar += w * (dh*dh*(1-w) - b.hintVar)
-	b.hintCov += w * (dh*dt*(1-w) - b.hintCov)
-}
-
-// hintedTime is what the line says for the request; 0 while little is known.
-func (b *Balancer) hintedTime(r *request) float64 {
-	if r.hint <= 0 || b.hints < 1/(4*slowSmooth) || b.hintVar <= 0 {
-		return 0
-	}
-	return max(b.hintTime+b.hintCov/b.hintVar*(r.hint-b.hintMean), 0)
-}
-
 // remember keeps when an unserved request first came, so that its retry is
 // judged by the time that has passed for the client.
 func (b *Balancer) remember(r *request) {
@@ -264,13 +240,7 @@
 }
 
 // expected is how long an answer to the request takes, on the mean.
-func (b *Balancer) expected(r *request) float64 {
-	e := b.expect[r.class]
-	if t := b.hintedTime(r); t > 0 {
-		e = max(t, e/4)
-	}
-	return e
-}
+func (b *Balancer) expected(r *request) float64 { return b.expect[r.class] }
 
 // cost is the work of a request in units of the mean one, and never less: hints are
 // rough, and a cold server would be sent the small ones that are not (i299663).
--- a/policy/types.go
+++ b/policy/types.go
@@ -262,11 +262,12 @@
 	States         [4]int // listed servers by state
 	Held, InFlight int
 	Window, Shed   float64 // attempts that all may hold; the part refused at once
+	Room, Over     float64 // attempts that may be out; the part of late that met a crowd
 }
 
 // View sums up the moment, for the log.
 func (b *Balancer) View() View {
-	v := View{Held: len(b.held), InFlight: b.inflight, Shed: b.shed()}
+	v := View{Held: len(b.held), InFlight: b.inflight, Shed: b.shed(), Room: b.room, Over: b.over}
 	for _, s := range b.servers {
 		v.States[s.state]++
 		v.Window += s.window
