Let the windows of few agents follow a crowd before their room does

At fault: easeLimit in policy/policy.go took one limit for 3 agents and for 80. Of few, each sees its servers so often that the windows act first; a second bound refuses for nothing. Now the limit rises by 2/replicasOfMe: a fortieth of itself for 80 agents, two thirds for 3.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -466,9 +466,11 @@
 }
 
 // easeLimit is the part of the aim over which the median answer of all servers means a
-// crowd: with the spread that answers have it is half as long again as when at ease.
+// crowd: with the spread that answers have it is half as long again as when at ease. Of few
+// agents each sees its servers often, and their windows have to follow a crowd first.
 func (b *Balancer) easeLimit() float64 {
-	return min(max(easeFactor*b.ease, crowdShare/2), easeMost)
+	few := 1 + 2/float64(max(b.set.Replicas, 1))
+	return min(max(easeFactor*b.ease, crowdShare/2), easeMost) * few
 }
 
 // coldShare is the part of an even share that a server may be sent: of a cold one
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -1222,3 +1222,17 @@
 		t.Errorf("room %.1f after 200 answers at ease", r.b.room)
 	}
 }
+
+// Few agents see each server often: their windows follow a crowd before the room does.
+func TestRoomsLimitIsHigherForFewAgents(t *testing.T) {
+	limit := func(agents int) float64 {
+		set := testSettings()
+		set.Replicas = agents
+		r := newRig(t, set, 10)
+		r.b.ease = 0.4
+		return r.b.easeLimit()
+	}
+	if few, many := limit(3), limit(80); many > 0.55 || few < 1.5*many {
+		t.Errorf("limits %.2f of three agents, %.2f of eighty", few, many)
+	}
+}
