--- a/internal/agent/backend.go
+++ b/internal/agent/backend.go
@@ -40,7 +40,6 @@
 	why       string // what ended a failed attempt, for the log
 	cut       bool   // the connection broke before any answer
 	latencyMs float64
-	report    []float32
 	header    http.Header
 	body      []byte
 }
@@ -53,7 +52,6 @@
 	connectTimeout time.Duration
 	keepalive      time.Duration // idle connections older than this are not used again
 	max            int
-	reportNames    []string
 
 	mu    sync.Mutex
 	idle  map[string][]*conn // by address, the most recently used last
@@ -88,9 +86,6 @@
 		max:       c.backendConns(),
 		idle:      map[string][]*conn{},
 	}
-	if c.Settings.Report.How == "inline" {
-		p.reportNames = c.Settings.Report.Names
-	}
 	if p.connectTimeout <= 0 {
 		p.connectTimeout = time.Second
 	}
@@ -201,7 +196,6 @@
 		s := broken(err)
 		return result{status: s, why: cn.story(err), cut: s == policy.Reset}, false
 	}
-	r.report = p.report(resp.Header)
 	if err != nil {
 		r.status, r.why = broken(err), cn.story(err)
 		return r, false
@@ -301,34 +295,6 @@
 	codingField = regexp.MustCompile(`(?i)\ntransfer-encoding[ \t]*:`)
 )
 
-// report reads a load report in the order the settings name its values; one that
-// is not whole is none.
-func (p *pool) report(h http.Header) []float32 {
-	text := h.Get("Server-Load")
-	if text == "" || len(p.reportNames) == 0 {
-		return nil
-	}
-	values := make([]float32, len(p.reportNames))
-	found := 0
-	for part := range strings.SplitSeq(text, ",") {
-		name, value, _ := strings.Cut(strings.TrimSpace(part), "=")
-		for i, want := range p.reportNames {
-			if name == want {
-				v, err := strconv.ParseFloat(value, 32)
-				if err != nil {
-					return nil
-				}
-				values[i] = float32(v)
-				found++
-			}
-		}
-	}
-	if found != len(values) {
-		return nil
-	}
-	return values
-}
-
 // get returns an idle connection that is still good, the most recently used
 // first, or opens one.
 func (p *pool) get(ctx context.Context, addr string, deadline time.Time) (*conn, error) {
--- a/internal/agent/front.go
+++ b/internal/agent/front.go
@@ -166,12 +166,6 @@
 		return bad("Request-Timeout-Ms is no whole number from 1 to %d", maxTimeout)
 	}
 	c.deadline = now.Add(time.Duration(left) * time.Millisecond)
-	if text := h.Get("Work-Hint"); text != "" {
-		us, err := strconv.ParseFloat(text, 64)
-		if c.hasHint = err == nil && us > 0 && us < 1e12; c.hasHint { // a guess: a bad one is none
-			c.hintMs = us / 1000
-		}
-	}
 	c.retry = f.cfg.Settings.Clients.MarksRetry && h.Get("Client-Retry") == "1"
 	if dir, last := path.Split(req.URL.EscapedPath()); len(dir) > 1 && last != "" {
 		c.key = hashString(last)
--- a/internal/agent/loop.go
+++ b/internal/agent/loop.go
@@ -85,8 +85,6 @@
 	class        int
 	tenant       int
 	key          uint64
-	hintMs       float64
-	hasHint      bool
 	retry        bool
 	deadline     time.Time
 	answer       chan answer // of capacity one: the loop never waits for a client
@@ -279,8 +277,7 @@
 	})
 	left -= min(moduleMargin, left/8)
 	l.handle(&policy.Event{Kind: policy.EvRequest, Request: r.id, Class: c.class, Tenant: c.tenant,
-		Key: c.key, LeftMs: float64(left.Microseconds()) / 1000, HintMs: c.hintMs,
-		HasHint: c.hasHint, Retry: c.retry})
+		Key: c.key, LeftMs: float64(left.Microseconds()) / 1000, Retry: c.retry})
 	return r
 }
 
@@ -429,7 +426,7 @@
 		l.log(slog.LevelInfo, "probe failed", "backend", b.id, "ended", res.status, "why", res.why)
 	}
 	l.handle(&policy.Event{Kind: policy.EvProbed, Server: b.name, Status: res.status,
-		LatencyMs: res.latencyMs, Report: res.report})
+		LatencyMs: res.latencyMs})
 	l.table.forget(b)
 }
 
@@ -470,7 +467,7 @@
 		l.finish(r, answer{verdict: served, header: res.header, body: res.body})
 	}
 	l.handle(&policy.Event{Kind: policy.EvOutcome, Request: r.id, Attempt: index, Server: t.backend.name,
-		Status: res.status, LatencyMs: res.latencyMs, Final: r.answered, Report: res.report})
+		Status: res.status, LatencyMs: res.latencyMs, Final: r.answered})
 	if r.answered && r.out == 0 {
 		delete(l.requests, r.id)
 	}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -56,8 +56,6 @@
 	easeFactor, easeMost = 1.25, 0.6
 	// crowdSmooth is the weight of one answer in the part of late that met a crowd.
 	crowdSmooth = 1.0 / 16
-	// loadFactor is how many times the mean of the reported requests a server may hold.
-	loadFactor = 1.5
 	// smooth is the weight of one answer in a server's mean, slowSmooth in a fleet-wide one.
 	smooth, slowSmooth = 0.2, 0.005
 	// fade lets requests count less for shares with age, over about 500.
@@ -172,16 +170,12 @@
 	c := &b.set.Classes[ev.Class]
 	r := &request{id: ev.Request, class: ev.Class, tenant: ev.Tenant, key: ev.Key,
 		arrived: b.now, first: b.now}
-	if ev.HasHint && ev.HintMs > 0 {
-		r.hint = ev.HintMs
-		b.meanHint = mean(b.meanHint, r.hint, slowSmooth)
-	}
 	left := max(ev.LeftMs, 0)
 	r.deadline = b.now + left - min(b.set.RoundMs, left/4)
 	if ev.Retry {
 		r.first = b.recall(r)
 	}
-	r.aimAt = min(r.first+c.AimMs+c.AimStretch*r.hint, r.deadline)
+	r.aimAt = min(r.first+c.AimMs, r.deadline)
 	r.spot = b.spot(r.key)
 	b.requests[r.id] = r
 	b.count(r.tenant)
@@ -421,9 +415,8 @@
 	if b.holds(s) >= max(int(s.window), 1) || s.window < 1 && b.now-s.sentAt < s.rtt/s.window {
 		return false
 	}
-	return b.ramp(s) == 1 || s.credit >= b.cost(r) ||
-		b.warmWeight() == 0 && (b.now-s.sentAt)*b.flow*s.weight*b.coldShare(s) >=
-			b.cost(r)*b.set.Contract.ColdMs
+	return b.ramp(s) == 1 || s.credit >= 1 ||
+		b.warmWeight() == 0 && (b.now-s.sentAt)*b.flow*s.weight*b.coldShare(s) >= b.set.Contract.ColdMs
 }
 
 // lost is the number of attempts out at servers that have fallen silent.
@@ -518,8 +511,7 @@
 	if !b.maySend(r, s) {
 		return false
 	}
-	a := &attempt{r: r, s: s, index: len(r.attempts), alone: len(s.out) == 0, sentAt: b.now,
-		cost: b.cost(r)}
+	a := &attempt{r: r, s: s, index: len(r.attempts), alone: len(s.out) == 0, sentAt: b.now}
 	r.attempts = append(r.attempts, a)
 	r.open++
 	if r.risky == 0 {
@@ -536,7 +528,7 @@
 	s.sentAt, b.sentAt = b.now, b.now
 	b.inflight++
 	if b.ramp(s) < 1 {
-		s.credit -= a.cost
+		s.credit--
 	}
 	b.do(Action{Kind: ActSend, Request: r.id, Server: s.id, Ms: r.deadline - b.now})
 	return true
@@ -547,16 +539,16 @@
 // stay in proportion to what they can do, without any agreement. What was only sent
 // does not count: in a crowd it is many times what gets done (ifa9784: 6 attempts a
 // request, most turned away, and 4 times its capacity sent to a cold server).
-func (b *Balancer) earn(s *server, cost float64) {
+func (b *Balancer) earn(s *server) {
 	warm := b.warmWeight()
 	if b.ramp(s) < 1 || warm == 0 {
 		return
 	}
-	b.flow = b.flow*math.Exp((b.flowAt-b.now)/b.set.Contract.ColdMs) + cost/warm
+	b.flow = b.flow*math.Exp((b.flowAt-b.now)/b.set.Contract.ColdMs) + 1/warm
 	b.flowAt = b.now
 	for _, o := range b.servers {
 		if b.ramp(o) < 1 {
-			o.credit = min(o.credit+cost*b.coldShare(o)*o.weight/warm, coldBurst)
+			o.credit = min(o.credit+b.coldShare(o)*o.weight/warm, coldBurst)
 		}
 	}
 }
@@ -708,18 +700,6 @@
 	b.own = min(max(b.own*(1+ownStep*x), ownLeast), ownMost)
 }
 
-// crowded tells whether a server reports well more requests than the mean of the others:
-// the cap by what all agents have in flight there.
-func (b *Balancer) crowded(s *server, report []float32) bool {
-	i := slices.Index(b.set.Report.Names, "inflight")
-	if i < 0 || i >= len(report) {
-		return false
-	}
-	x := finite(float64(report[i])) / s.weight
-	b.load = mean(b.load, x, 4*slowSmooth)
-	return x > loadFactor*b.load+1
-}
-
 // rest lets a crowded server miss about one turn of this agent. One that sees it twice a
 // minute cannot follow its crowd by window; but all agents together send it less by the
 // part of them that met it crowded.
@@ -730,7 +710,7 @@
 
 func (b *Balancer) served(a *attempt, ev *Event) {
 	s, r, rtt := a.s, a.r, ev.LatencyMs
-	b.earn(s, a.cost)
+	b.earn(s)
 	b.again = min(b.again+againShare, againMost)
 	b.heardFrom(s)
 	s.rtt = mean(s.rtt, rtt, smooth)
@@ -762,7 +742,7 @@
 		b.calmLat = mean(b.calmLat, b.fleetLat, b.calmRise(a))
 	}
 	b.learn(s, x)
-	if late := b.now > r.aimAt; b.crowded(s, ev.Report) || late {
+	if b.now > r.aimAt {
 		b.rest(s)
 	}
 	limit := b.limit(s)
--- a/policy/state.go
+++ b/policy/state.go
@@ -47,7 +47,6 @@
 	index  int
 	sentAt float64
 	alone  bool // no other of this agent was out on its server
-	cost   float64
 	done   bool
 }
 
@@ -57,8 +56,7 @@
 	class      int
 	tenant     int
 	key        uint64
-	spot       uint64 // the key, or one of its parts
-	hint       float64
+	spot       uint64  // the key, or one of its parts
 	first      float64 // when the client's first try came, as far as known
 	arrived    float64
 	aimAt      float64
@@ -107,7 +105,6 @@
 	roomCutAt float64
 	ease      float64 // the least that fleetLat has been of late
 	over      float64 // part of the answers of late that met a crowded server
-	load      float64 // mean reported requests for weight one
 	sentAt    float64 // last attempt
 	gap       float64 // mean time between attempts
 	tried     float64 // ended tries, fading, and what they gained
@@ -116,7 +113,6 @@
 	probes    int
 	mayProbe  float64   // probes that may be sent
 	expect    []float64 // per class: mean answer time
-	meanHint  float64
 	answers   float64   // served so far
 	fleetLat  float64   // mean answer time as a part of the aim, all servers
 	calmLat   float64   // the same when nothing is crowded
@@ -228,29 +224,14 @@
 	return b.warm
 }
 
-// partOfAim is an answer time as a part of the aim. Where hints tell the work a
-// costly request counts as one of mean work; a small one is not scaled up, as its
-// time is mostly the network's.
+// partOfAim is an answer time as a part of the aim.
 func (b *Balancer) partOfAim(r *request, rtt float64) float64 {
-	x := rtt / b.set.Classes[r.class].AimMs
-	if r.hint > 0 {
-		x *= min(b.meanHint/r.hint, 1)
-	}
-	return min(x, 2)
+	return min(rtt/b.set.Classes[r.class].AimMs, 2)
 }
 
 // expected is how long an answer to the request takes, on the mean.
 func (b *Balancer) expected(r *request) float64 { return b.expect[r.class] }
 
-// cost is the work of a request in units of the mean one, and never less: hints are
-// rough, and a cold server would be sent the small ones that are not (i299663).
-func (b *Balancer) cost(r *request) float64 {
-	if r.hint > b.meanHint {
-		return r.hint / b.meanHint
-	}
-	return 1
-}
-
 // enter notes a server's new state and its time; tiers have changed.
 func (b *Balancer) enter(s *server, to State) {
 	if s.state > Unknown || to > Unknown {
--- a/policy/types.go
+++ b/policy/types.go
@@ -48,16 +48,15 @@
 
 // Class is one class of requests.
 type Class struct {
-	Name       string  `json:"name"`
-	AimMs      float64 `json:"aimMs"`
-	AimStretch float64 `json:"aimStretch"`
-	GiveUpMs   float64 `json:"giveUpMs"`
-	Effect     Effect  `json:"effect"`
-	Group      Group   `json:"group"`
-	KeyTTLMs   float64 `json:"keyTtlMs"`
-	Credit     float64 `json:"credit"`
-	LateShare  float64 `json:"lateShare"`
-	Streamed   bool    `json:"streamed"`
+	Name      string  `json:"name"`
+	AimMs     float64 `json:"aimMs"`
+	GiveUpMs  float64 `json:"giveUpMs"`
+	Effect    Effect  `json:"effect"`
+	Group     Group   `json:"group"`
+	KeyTTLMs  float64 `json:"keyTtlMs"`
+	Credit    float64 `json:"credit"`
+	LateShare float64 `json:"lateShare"`
+	Streamed  bool    `json:"streamed"`
 }
 
 // Tenant is a customer with a share of what the servers can do.
@@ -110,12 +109,6 @@
 	WorstTenant float64 `json:"worstTenant"`
 }
 
-// Report names the values of the servers' load reports.
-type Report struct {
-	How   string   `json:"how"`
-	Names []string `json:"names"`
-}
-
 // Settings is what an agent is told at its start.
 type Settings struct {
 	Classes    []Class   `json:"classes"`
@@ -124,7 +117,6 @@
 	Contract   Contract  `json:"contract"`
 	Prices     Prices    `json:"prices"`
 	Objective  Objective `json:"objectiveMix"`
-	Report     Report    `json:"report"`
 	Membership string    `json:"membershipMode"` // "pushed" or "on_request"
 	Clients    struct {
 		MarksRetry bool `json:"marksRetry"`
@@ -197,12 +189,12 @@
 
 // The events.
 const (
-	EvRequest EventKind = iota + 1 // Request, Class, Tenant, Key, LeftMs, HintMs, HasHint, Retry
-	EvOutcome                      // Request, Attempt, Server, Status, LatencyMs, Final, Report
+	EvRequest EventKind = iota + 1 // Request, Class, Tenant, Key, LeftMs, Retry
+	EvOutcome                      // Request, Attempt, Server, Status, LatencyMs, Final
 	EvStarted                      // Request, Attempt, Server, LatencyMs: a streamed answer began
 	EvDropped                      // Request: the client left
 	EvList                         // List, Entries
-	EvProbed                       // Server, Status, LatencyMs, Report
+	EvProbed                       // Server, Status, LatencyMs
 	EvTimer                        // Token
 	EvPeer                         // a message of another agent; carries nothing that is used
 )
@@ -215,15 +207,12 @@
 	Tenant    int
 	Key       uint64 // 0: none
 	LeftMs    float64
-	HintMs    float64
-	HasHint   bool
 	Retry     bool
 	Attempt   int
 	Server    Addr
 	Status    Status
 	LatencyMs float64
 	Final     bool // the request is finished
-	Report    []float32
 	List      ListKind
 	Entries   []Entry // not changed and not kept by the Balancer
 	Token     uint32
@@ -286,6 +275,6 @@
 // finite is the event with numbers that make sense.
 func (ev *Event) finite() *Event {
 	e := *ev
-	e.LeftMs, e.HintMs, e.LatencyMs = finite(e.LeftMs), finite(e.HintMs), finite(e.LatencyMs)
+	e.LeftMs, e.LatencyMs = finite(e.LeftMs), finite(e.LatencyMs)
 	return &e
 }
