Let the room of an agent grow by a part of itself

Evidence: per second over all agents, attempts out fall by the cuts and are back within one or two answer times; a room of 4 grew by 1 an answer time, 80 agents' rooms by a quarter. Ruled out: answers too few to see the crowd (most rooms were cut within a second). At fault: sense in policy/policy.go. A step of one attempt is small in one agent and large in eighty. Now an answer adds a twentieth of an attempt.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -56,6 +56,9 @@
 	easeFactor, easeMost = 1.25, 0.6
 	// crowdSmooth is the weight of one answer in the part of late that met a crowd.
 	crowdSmooth = 1.0 / 16
+	// roomStep is how much the room grows by an answer that met no crowd: a twentieth of itself
+	// in an answer time. One attempt more of each agent would be a fifth more of eighty.
+	roomStep = 0.05
 	// smooth is the weight of one answer in a server's mean, slowSmooth in a fleet-wide one.
 	smooth, slowSmooth = 0.2, 0.005
 	// fade lets requests count less for shares with age, over about 500.
@@ -454,7 +457,7 @@
 		least := float64(len(b.servers)) / float64(max(b.set.Replicas, 1))
 		b.room, b.roomCutAt = max(min(b.room, out)*0.85, least, leastWindow), b.now
 	case b.over < 0.5 && out+1 > b.room:
-		b.room += min(1/b.room, b.room)
+		b.room += roomStep // so by a part of itself for each answer time, whatever its size
 	}
 }
 
@@ -462,10 +465,13 @@
 // crowd: with the spread that answers have it is half as long again as when at ease. Of few
 // agents each sees its servers often, and their windows have to follow a crowd first.
 func (b *Balancer) easeLimit() float64 {
-	few := 1 + 2/float64(max(b.set.Replicas, 1))
-	return min(max(easeFactor*b.ease, crowdShare/2), easeMost) * few
+	return min(max(easeFactor*b.ease, crowdShare/2), easeMost) * b.few()
 }
 
+// few is how much later than one of very many agents one of few has to act by what it meets
+// at all servers or in a single answer.
+func (b *Balancer) few() float64 { return 1 + 2/float64(max(b.set.Replicas, 1)) }
+
 // coldShare is the part of an even share that a server may be sent: of a cold one
 // what keeps the contract, so that its keys move to it as it warms up, instead of
 // waiting for it.
@@ -671,7 +677,8 @@
 	case Timeout:
 		// A server that answered others meanwhile is not to blame for a costly
 		// request; it counts as slow.
-		b.rest(s)
+		b.weighZone(s, true)
+		b.rest(s, 1)
 		if s.heard > a.sentAt {
 			b.learn(s, b.partOfAim(a.r, ev.LatencyMs))
 			b.sense(a, true)
@@ -682,7 +689,8 @@
 		s.heard = b.now
 		b.cut(s, 0.7, 1)
 		b.sense(a, true)
-		b.rest(s)
+		b.weighZone(s, true)
+		b.rest(s, 1)
 	}
 }
 
@@ -700,12 +708,12 @@
 	b.own = min(max(b.own*(1+ownStep*x), ownLeast), ownMost)
 }
 
-// rest lets a crowded server miss about one turn of this agent. One that sees it twice a
+// rest lets a crowded server miss about so many turns of this agent. One that sees it twice a
 // minute cannot follow its crowd by window; but all agents together send it less by the
 // part of them that met it crowded.
-func (b *Balancer) rest(s *server) {
-	b.weighZone(s, true)
-	s.restUntil = b.now + min(b.gap*float64(len(b.servers)), b.set.Contract.ColdMs)*(0.5+b.rng.Float64())
+func (b *Balancer) rest(s *server, turns float64) {
+	turn := b.gap * float64(len(b.servers))
+	s.restUntil = b.now + min(turns*turn, b.set.Contract.ColdMs)*(0.5+b.rng.Float64())
 }
 
 func (b *Balancer) served(a *attempt, ev *Event) {
@@ -743,7 +751,8 @@
 	}
 	b.learn(s, x)
 	if b.now > r.aimAt {
-		b.rest(s)
+		b.weighZone(s, true)
+		b.rest(s, 1)
 	}
 	limit := b.limit(s)
 	if b.answers >= learnFor {
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -1206,3 +1206,17 @@
 		t.Errorf("limits %.2f of three agents, %.2f of eighty", few, many)
 	}
 }
+
+// Eighty agents with one attempt more each after an answer time would undo every cut at once.
+func TestRoomGrowsByAPartOfItself(t *testing.T) {
+	set := testSettings()
+	set.Replicas = 80
+	r := newRig(t, set, 60)
+	r.b.room, r.b.inflight = 4, 4
+	for range 4 { // the answers of one answer time
+		r.b.sense(&attempt{sentAt: r.now}, false)
+	}
+	if r.b.room <= 4 || r.b.room > 4.5 {
+		t.Errorf("room grew from 4 to %.2f in one answer time", r.b.room)
+	}
+}
