Leave a server alone for some turns when one answer shows that it tipped

Evidence: the median answer is near that at ease and one in ten is late: some servers are slow for good. Those that tipped recover only while next to idle, and each of 80 agents sends one a request every three seconds, as it rests a server only after a late answer. Ruled out: rooms too small (their sum is twice what is out), cold servers (their credit is not used up), the own zone's weight (the same with it left out of the new rest). At fault: served and rest in policy/policy.go. Now an answer twice as slow as at ease makes its server miss a turn, more the slower it was. Of few agents, whose windows follow it, it has to be slower, by the same part as the room.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -56,6 +56,9 @@
 	easeFactor, easeMost = 1.25, 0.6
 	// crowdSmooth is the weight of one answer in the part of late that met a crowd.
 	crowdSmooth = 1.0 / 16
+	// slowFactor times the mean answer at ease makes a server miss turns: those that tipped
+	// take two times as long and more, and recover only with next to nothing to do.
+	slowFactor = 2.0
 	// roomStep is how much the room grows by an answer that met no crowd: a twentieth of itself
 	// in an answer time. One attempt more of each agent would be a fifth more of eighty.
 	roomStep = 0.05
@@ -750,9 +753,12 @@
 		b.calmLat = mean(b.calmLat, b.fleetLat, b.calmRise(a))
 	}
 	b.learn(s, x)
-	if b.now > r.aimAt {
+	late, slow := b.now > r.aimAt, x/b.ease
+	if late {
 		b.weighZone(s, true)
-		b.rest(s, 1)
+	}
+	if late || slow > slowFactor*b.few() {
+		b.rest(s, min(max(slow-1, 1), 4))
 	}
 	limit := b.limit(s)
 	if b.answers >= learnFor {
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -1220,3 +1220,31 @@
 		t.Errorf("room grew from 4 to %.2f in one answer time", r.b.room)
 	}
 }
+
+// A server that tipped answers within the aim, but twice as slowly and more, and recovers
+// only if it is left alone: of eighty agents each sees it once in seconds, so one answer counts.
+func TestTippedServerMissesTurns(t *testing.T) {
+	rested := func(agents int, rtt float64) float64 {
+		set := testSettings()
+		set.Replicas = agents
+		r := newRig(t, set, 6)
+		for range 2 * learnFor {
+			r.now += 100
+			id, s := r.sent(0, r.b.rng.Uint64())
+			r.outcome(id, 0, s, OK, 50)
+		}
+		id, s := r.sent(0, 7)
+		r.now += rtt
+		r.outcome(id, 0, s, OK, rtt)
+		return (r.b.byAddr[s].restUntil - r.now) / (r.b.gap * 6)
+	}
+	if turns := rested(80, 60); turns > 0 {
+		t.Errorf("a server that took a fifth longer misses %.1f turns", turns)
+	}
+	if turns := rested(80, 200); turns < 1 {
+		t.Errorf("a server that took four times as long misses %.1f turns", turns)
+	}
+	if turns := rested(3, 140); turns > 0 {
+		t.Errorf("of three agents, whose windows follow it, one leaves a server alone for %.1f turns", turns)
+	}
+}
