Test the time after SIGTERM by its parts, not by the wall clock

Symptom: TestSIGTERMUnderTraffic held the program's end to 3.7 s of wall-clock time, which a busy machine can miss without any fault of the program. At fault: the bound in cmd/ringtrack/main_test.go. What it meant, that the end comes before the kill, is now checked where it is set: linger and heldFor for any longest deadline. Ruled out as still needed there: that the program ends by itself, the test waits for.

--- a/cmd/ringtrack/main_test.go
+++ b/cmd/ringtrack/main_test.go
@@ -63,7 +63,7 @@
 
 // SIGTERM under traffic: connections go on coming for a while and those there are
 // go on being used; each request on an accepted connection has its answer, and
-// the program ends by itself, without error, well before it would be killed.
+// the program ends by itself, without error.
 func TestSIGTERMUnderTraffic(t *testing.T) {
 	backend := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.URL.Path == "/api/long" {
@@ -164,7 +164,6 @@
 		time.Sleep(time.Millisecond)
 	}
 	signalled.Store(true)
-	from := time.Now()
 	if err := cmd.Process.Signal(syscall.SIGTERM); err != nil {
 		t.Fatal(err)
 	}
@@ -191,7 +190,6 @@
 	if err := cmd.Wait(); err != nil {
 		t.Errorf("the program ended with %v", err)
 	}
-	took := time.Since(from)
 	workers.Wait()
 	if err := <-long; err != nil {
 		t.Errorf("a request held at the end: %v", err)
@@ -199,9 +197,6 @@
 	if lost.Load() > 0 || afterSignal.Load() == 0 {
 		t.Errorf("%d requests lost; %d answered, %d of them asked after the signal", lost.Load(), answered.Load(), afterSignal.Load())
 	}
-	if took > 3700*time.Millisecond {
-		t.Errorf("ended %v after SIGTERM", took)
-	}
 }
 
 // SIGHUP: the program goes on, asks discovery at the address that the file names now,
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -43,13 +43,7 @@
 			serving = false
 		}
 	}
-	// SIGKILL comes no sooner than the longest deadline and 0.7 s after SIGTERM:
-	// what came last has its whole time, and the end is well before that.
-	held := 100 * time.Millisecond
-	for _, c := range cfg.Settings.Classes {
-		held = max(held, ms(c.GiveUpMs)+50*time.Millisecond)
-	}
-	if err := f.shutdown(held); err != nil {
+	if err := f.shutdown(cfg.heldFor()); err != nil {
 		slog.Warn("shutdown", "err", err) // connections that never brought a request
 	}
 	cancel()
@@ -57,3 +51,14 @@
 	slog.Info("stopped", "figures", fmt.Sprintf("%+v", l.figures))
 	return nil
 }
+
+// heldFor is how long requests that are held at the end are waited for, once no more
+// connections come. SIGKILL comes no sooner than the longest deadline and 0.7 s after
+// SIGTERM: what came last has its whole time, and the end is well before that.
+func (c *Config) heldFor() time.Duration {
+	held := 100 * time.Millisecond
+	for _, class := range c.Settings.Classes {
+		held = max(held, ms(class.GiveUpMs)+50*time.Millisecond)
+	}
+	return held
+}
--- a/internal/agent/config_test.go
+++ b/internal/agent/config_test.go
@@ -5,6 +5,9 @@
 	"path/filepath"
 	"strings"
 	"testing"
+	"time"
+
+	"clayproxy.example/clayproxy/policy"
 )
 
 func TestConfig(t *testing.T) {
@@ -52,3 +55,15 @@
 		t.Error("no configuration is accepted")
 	}
 }
+
+// After SIGTERM what came last has its whole time, and the program has ended before it may
+// be killed: the longest deadline and 0.7 s later.
+func TestTheEndIsBeforeTheKill(t *testing.T) {
+	for _, longest := range []float64{300, 3000, 20000} {
+		c := &Config{Settings: policy.Settings{Classes: []policy.Class{{GiveUpMs: 200}, {GiveUpMs: longest}}}}
+		end, kill := linger+c.heldFor(), ms(longest)+700*time.Millisecond
+		if end <= linger+ms(longest) || end >= kill-100*time.Millisecond {
+			t.Errorf("longest deadline %v ms: the end is %v after SIGTERM, the kill %v", longest, end, kill)
+		}
+	}
+}
