--- a/policy/policy.go
+++ b/policy/policy.go
@@ -72,8 +72,8 @@
 	// agents may spend theirs at once, and the budget is counted over a short time.
 	coldBurst = 1.0
 	// coldMargin is what an even share may cost a cold server, in its present capacity: the
-	// warm ones save up to three fifths of the work by the keys they know, and some for chance.
-	coldMargin = 3.0
+	// warm ones save up to three quarters of the work by the keys they know.
+	coldMargin = 4.0
 	// callGap is the time in ms that each agent's call for the list takes of the spread.
 	callGap = 50.0
 	// probeCap bounds the probes under way, probeShare those for each request.
