Open the operators' door, drain on call, and inherit the clients' listener

Also seen while reading: SetKeepAlivesEnabled(false) at SIGTERM closes idle connections at once, in the middle of a client's choice among them; emptying does it in the reader instead.

--- a/cmd/ringtrack/main.go
+++ b/cmd/ringtrack/main.go
@@ -12,6 +12,7 @@
 	"os/signal"
 	"runtime"
 	"runtime/debug"
+	"strconv"
 	"syscall"
 
 	"clayproxy.example/clayproxy/internal/agent"
@@ -40,17 +41,53 @@
 	debug.SetMemoryLimit(int64(cfg.MemoryMB) << 20 * 3 / 4)
 	stop, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer cancel()
-	ln, err := net.Listen("tcp", cfg.Listen)
+	ln, err := listen(cfg, os.Getenv("PROXY_LISTEN_FD"))
 	if err != nil {
-		return fmt.Errorf("listen: %w", err)
+		return err
+	}
+	operators := ""
+	if ln.Operators != nil {
+		operators = ln.Operators.Addr().String()
 	}
-	slog.Info("listening", "name", cfg.Name, "addr", ln.Addr().String(), "membership", cfg.Settings.Membership,
+	slog.Info("listening", "name", cfg.Name, "addr", ln.Clients.Addr().String(), "shared", ln.Shared,
+		"management", operators, "membership", cfg.Settings.Membership,
 		"agents", cfg.Settings.Replicas, "known", len(cfg.Known.Servers), "prices", fmt.Sprintf("%+v", cfg.Settings.Prices))
 	reloads := make(chan *agent.Config)
 	go reload(stop, hangups, reloads)
 	return agent.Run(stop, cfg, ln, reloads)
 }
 
+// listen opens what the configuration names. The clients' listener is inherited where fd
+// names its descriptor: the platform holds it, and other processes accept from it too.
+func listen(cfg *agent.Config, fd string) (ln agent.Listeners, err error) {
+	if fd != "" {
+		ln.Shared = true
+		ln.Clients, err = inherited(fd)
+	} else {
+		ln.Clients, err = net.Listen("tcp", cfg.Listen)
+	}
+	if err != nil {
+		return ln, fmt.Errorf("listen: %w", err)
+	}
+	if cfg.Management != "" {
+		if ln.Operators, err = net.Listen("tcp", cfg.Management); err != nil {
+			return ln, fmt.Errorf("management: %w", err)
+		}
+	}
+	return ln, nil
+}
+
+// inherited makes a listener of a descriptor, which is the listener's own from then on.
+func inherited(fd string) (net.Listener, error) {
+	n, err := strconv.ParseUint(fd, 10, 16)
+	if err != nil {
+		return nil, fmt.Errorf("PROXY_LISTEN_FD: %q is no descriptor", fd)
+	}
+	f := os.NewFile(uintptr(n), "clients")
+	defer f.Close() // the listener has a copy
+	return net.FileListener(f)
+}
+
 // reload hands on the configuration at each hangup until stop is done. A file that
 // can't be used changes nothing.
 func reload(stop context.Context, hangups <-chan os.Signal, reloads chan<- *agent.Config) {
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -5,22 +5,34 @@
 	"fmt"
 	"log/slog"
 	"net"
+	"sync"
 	"time"
 )
 
+// Listeners are what one agent listens on.
+type Listeners struct {
+	Clients net.Listener
+	// Shared tells that other processes accept from the clients' queue too: it
+	// outlives this process.
+	Shared bool
+	// Operators is their door; nil: there is none.
+	Operators net.Listener
+}
+
 // Run serves until stop is done, then ends in order. It returns nil when every
 // request that was held has been answered. Each configuration that comes on reloads
 // replaces the address of discovery; the rest of it takes effect at a start only.
-func Run(stop context.Context, cfg *Config, ln net.Listener, reloads <-chan *Config) error {
+func Run(stop context.Context, cfg *Config, ln Listeners, reloads <-chan *Config) error {
 	return run(stop, cfg, ln, reloads, func(*loop) {})
 }
 
 // run is Run, which also hands out the loop before it starts.
-func run(stop context.Context, cfg *Config, ln net.Listener, reloads <-chan *Config, made func(*loop)) error {
+func run(stop context.Context, cfg *Config, ln Listeners, reloads <-chan *Config, made func(*loop)) error {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel() // only after the front: requests held need the loop to the end
 	f := newFront(cfg)
-	l, err := newLoop(ctx, cfg, func() { f.ready.Store(true) })
+	usable := make(chan struct{})
+	l, err := newLoop(ctx, cfg, sync.OnceFunc(func() { close(usable) }))
 	if err != nil {
 		return fmt.Errorf("agent: %w", err)
 	}
@@ -31,10 +43,29 @@
 		defer close(ended)
 		l.run()
 	}()
-	failed := make(chan error, 1)
-	go func() { failed <- f.serve(ln) }()
+	failed := make(chan error, 2)
+	if ln.Operators != nil {
+		m := newManagement(f)
+		defer m.close()
+		go func() { failed <- m.serve(ln.Operators) }()
+	}
+	clients := f.limited(ln.Clients)
+	serve := func() { failed <- f.serve(clients) }
+	if !ln.Shared {
+		// Until a backend is known clients are answered that it is not.
+		go serve()
+		serve = nil
+	}
 	for serving := true; serving; {
 		select {
+		case <-usable:
+			// From a shared queue nothing is taken before it can be served: the process
+			// that still serves takes it.
+			if serve != nil {
+				go serve()
+			}
+			f.ready()
+			usable = nil
 		case err := <-failed:
 			return err
 		case c := <-reloads:
@@ -43,8 +74,8 @@
 			serving = false
 		}
 	}
-	if err := f.shutdown(cfg.heldFor()); err != nil {
-		slog.Warn("shutdown", "err", err) // connections that never brought a request
+	if err := f.shutdown(clients, ln.Shared, cfg.heldFor()); err != nil {
+		slog.Warn("shutdown", "err", err)
 	}
 	cancel()
 	<-ended
@@ -52,13 +83,13 @@
 	return nil
 }
 
-// heldFor is how long requests that are held at the end are waited for, once no more
-// connections come. SIGKILL comes no sooner than the longest deadline and 0.7 s after
-// SIGTERM: what came last has its whole time, and the end is well before that.
+// heldFor is how long clients are served after SIGTERM at the most. SIGKILL comes no sooner
+// than the longest deadline and 0.7 s after it: what came while connections still did has
+// its whole time, and the end is well before that.
 func (c *Config) heldFor() time.Duration {
 	held := 100 * time.Millisecond
 	for _, class := range c.Settings.Classes {
 		held = max(held, ms(class.GiveUpMs)+50*time.Millisecond)
 	}
-	return held
+	return linger + held
 }
--- a/internal/agent/config.go
+++ b/internal/agent/config.go
@@ -17,23 +17,26 @@
 	Name      string
 	Listen    string
 	Discovery string
-	Seed      uint64
-	Cores     float64
-	MemoryMB  int
-	Sockets   int
-	Known     List
-	Settings  policy.Settings
-	Zones     []string // names of zones and of machine kinds, by the number the module knows
-	Kinds     []string
+	// Management is where operators call; empty: nowhere.
+	Management string
+	Seed       uint64
+	Cores      float64
+	MemoryMB   int
+	Sockets    int
+	Known      List
+	Settings   policy.Settings
+	Zones      []string // names of zones and of machine kinds, by the number the module knows
+	Kinds      []string
 }
 
 // file is the form of $PROXY_CONFIG.
 type file struct {
-	Name      string `json:"name"`
-	Listen    string `json:"listen"`
-	Discovery string `json:"discovery"`
-	Seed      string `json:"seed"`
-	Limits    struct {
+	Name       string `json:"name"`
+	Listen     string `json:"listen"`
+	Discovery  string `json:"discovery"`
+	Management string `json:"management"`
+	Seed       string `json:"seed"`
+	Limits     struct {
 		Cores    float64 `json:"cores"`
 		MemoryMB int     `json:"memory_mb"`
 		Sockets  int     `json:"sockets"`
@@ -53,7 +56,8 @@
 	for _, over := range []struct {
 		name string
 		to   *string
-	}{{"PROXY_NAME", &f.Name}, {"PROXY_LISTEN", &f.Listen}, {"PROXY_DISCOVERY", &f.Discovery}} {
+	}{{"PROXY_NAME", &f.Name}, {"PROXY_LISTEN", &f.Listen}, {"PROXY_DISCOVERY", &f.Discovery},
+		{"PROXY_MANAGEMENT", &f.Management}} {
 		if v := getenv(over.name); v != "" {
 			*over.to = v
 		}
@@ -88,9 +92,13 @@
 }
 
 func (f *file) config() (*Config, error) {
-	c := &Config{Name: f.Name, Listen: f.Listen, Discovery: f.Discovery, Known: f.Known,
+	c := &Config{Name: f.Name, Listen: f.Listen, Discovery: f.Discovery, Management: f.Management, Known: f.Known,
 		Cores: f.Limits.Cores, MemoryMB: f.Limits.MemoryMB, Sockets: f.Limits.Sockets}
-	for _, a := range []struct{ key, value string }{{"listen", c.Listen}, {"discovery", c.Discovery}} {
+	for _, a := range []struct{ key, value string }{{"listen", c.Listen}, {"discovery", c.Discovery},
+		{"management", c.Management}} {
+		if a.key == "management" && a.value == "" {
+			continue
+		}
 		if _, port, err := net.SplitHostPort(a.value); err != nil || port == "" {
 			return nil, fmt.Errorf("config: %s: %q is no host:port", a.key, a.value)
 		}
--- a/internal/agent/config_test.go
+++ b/internal/agent/config_test.go
@@ -61,7 +61,7 @@
 func TestTheEndIsBeforeTheKill(t *testing.T) {
 	for _, longest := range []float64{300, 3000, 20000} {
 		c := &Config{Settings: policy.Settings{Classes: []policy.Class{{GiveUpMs: 200}, {GiveUpMs: longest}}}}
-		end, kill := linger+c.heldFor(), ms(longest)+700*time.Millisecond
+		end, kill := c.heldFor(), ms(longest)+700*time.Millisecond
 		if end <= linger+ms(longest) || end >= kill-100*time.Millisecond {
 			t.Errorf("longest deadline %v ms: the end is %v after SIGTERM, the kill %v", longest, end, kill)
 		}
--- a/internal/agent/fakes_test.go
+++ b/internal/agent/fakes_test.go
@@ -271,6 +271,7 @@
 	loop *loop
 	stop context.CancelFunc
 	done chan error
+	door string // where operators call
 	// reloads takes what a SIGHUP would bring.
 	reloads chan *Config
 }
@@ -298,11 +299,17 @@
 	if change != nil {
 		change(cfg)
 	}
+	operators, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
 	ctx, stop := context.WithCancel(context.Background())
-	a := &testAgent{t: t, addr: ln.Addr().String(), stop: stop, done: make(chan error, 1),
+	a := &testAgent{t: t, addr: ln.Addr().String(), door: operators.Addr().String(), stop: stop, done: make(chan error, 1),
 		reloads: make(chan *Config)}
 	started := make(chan *loop, 1)
-	go func() { a.done <- run(ctx, cfg, ln, a.reloads, func(l *loop) { started <- l }) }()
+	go func() {
+		a.done <- run(ctx, cfg, Listeners{Clients: ln, Operators: operators}, a.reloads, func(l *loop) { started <- l })
+	}()
 	a.loop = <-started
 	t.Cleanup(func() {
 		stop()
--- a/internal/agent/front.go
+++ b/internal/agent/front.go
@@ -9,6 +9,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"os"
 	"path"
 	"strconv"
 	"sync"
@@ -21,9 +22,11 @@
 )
 
 const (
-	// linger is how long connections still come after SIGTERM: 0.4 s at most, and
-	// what stands in the accept queue by then.
+	// linger is how long connections still come after SIGTERM or a drain's start: 0.4 s at
+	// most, and what stands in the accept queue by then. Those that idle after it are closed.
 	linger = 500 * time.Millisecond
+	// sweepIdle is how often idle connections are looked for while the front empties.
+	sweepIdle = 50 * time.Millisecond
 	// headTime and requestTime bound how long a request's head, and all of it, may take
 	// to come. Peers that bring none are owed an error or a close 3 s after connecting.
 	headTime, requestTime = 2 * time.Second, 2500 * time.Millisecond
@@ -38,8 +41,17 @@
 	server  *http.Server
 	classes map[string]int
 	tenants map[string]int
-	ready   atomic.Bool
 	conns   *clientConns
+
+	usable  atomic.Bool // a backend may be sent to
+	serving atomic.Bool // usable, clients are accepted, and the end has not begun
+
+	mu       sync.Mutex
+	emptying atomic.Bool        // clients are sent away; set under mu
+	refill   context.CancelFunc // ends the emptying
+	ending   bool               // the front empties for good
+
+	accepting sync.WaitGroup // serve, until it accepts no more
 }
 
 func newFront(cfg *Config) *front {
@@ -67,26 +79,94 @@
 	return f
 }
 
-// serve accepts clients until the server is shut down.
+// limited is the listener with which clients beyond the limit wait in the accept queue,
+// not as descriptors.
+func (f *front) limited(ln net.Listener) net.Listener {
+	return clientListener{netutil.LimitListener(ln, f.conns.max)}
+}
+
+// serve accepts clients until the listener is closed.
 func (f *front) serve(ln net.Listener) error {
-	// Beyond the limit clients wait in the accept queue, not as descriptors.
-	ln = clientListener{netutil.LimitListener(ln, f.conns.max)}
-	if err := f.server.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
-		return fmt.Errorf("front: %w", err)
+	f.accepting.Add(1)
+	defer f.accepting.Done()
+	err := f.server.Serve(ln)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.ending || errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return fmt.Errorf("front: %w", err)
+}
+
+// ready tells the front once a backend may be sent to.
+func (f *front) ready() {
+	f.usable.Store(true)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.serving.Store(!f.ending)
+}
+
+// errEnding answers operators who would have a process that ends take clients.
+var errEnding = errors.New("the process is ending")
+
+// startDrain begins to empty the front: /-/ready says no, every answer closes its
+// connection, and what idles is closed once no more connections come.
+func (f *front) startDrain() error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.refill != nil {
+		return nil
 	}
+	ctx, cancel := context.WithCancel(context.Background())
+	f.refill = cancel
+	f.emptying.Store(true)
+	go f.conns.empty(ctx)
 	return nil
 }
 
-// shutdown ends service without losing a request. Connections still come for a
-// while after the signal, and an accept queue that is closed resets them, so
-// accepting goes on, with every answer closing its connection, before the
-// listener closes and the held requests are waited for.
-func (f *front) shutdown(held time.Duration) error {
-	f.server.SetKeepAlivesEnabled(false)
-	time.Sleep(linger)
-	ctx, cancel := context.WithTimeout(context.Background(), held)
-	defer cancel()
-	return f.server.Shutdown(ctx)
+// stopDrain takes clients again.
+func (f *front) stopDrain() error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.ending {
+		return errEnding
+	}
+	if f.refill != nil {
+		f.refill()
+		f.refill = nil
+		f.emptying.Store(false)
+	}
+	return nil
+}
+
+// shutdown ends service without losing a request, within held. An accept queue that is
+// closed resets what it holds, so while connections still come after the signal they are
+// accepted. A queue that is shared is not closed with this process's listener: what it
+// holds is for the other process, at once.
+func (f *front) shutdown(ln net.Listener, shared bool, held time.Duration) error {
+	over := time.After(held)
+	f.mu.Lock()
+	f.ending = true
+	f.serving.Store(false)
+	f.mu.Unlock()
+	if err := f.startDrain(); err != nil {
+		return err
+	}
+	if !shared {
+		time.Sleep(linger)
+	}
+	ln.Close()
+	f.accepting.Wait() // what was accepted last is counted by then
+	defer f.server.Close()
+	defer f.refill()
+	for {
+		select {
+		case <-f.conns.none():
+			return nil
+		case <-over:
+			return fmt.Errorf("%d connections of clients still open", f.conns.size())
+		}
+	}
 }
 
 func (f *front) ServeHTTP(w http.ResponseWriter, req *http.Request) {
@@ -99,15 +179,15 @@
 	// The server reads a chunked body by its chunks and drops a length that was given
 	// with it. By that length what follows would be body still: it must not be read as
 	// a request, so nothing more is read.
-	if len(req.TransferEncoding) > 0 {
+	if len(req.TransferEncoding) > 0 || f.emptying.Load() {
 		w.Header().Set("Connection", "close")
 	}
 	if req.URL.Path == "/-/ready" {
-		if f.ready.Load() {
+		if f.usable.Load() && !f.emptying.Load() {
 			w.WriteHeader(http.StatusOK)
 		} else {
 			// Not a request of the protocol's, so no refusal either.
-			http.Error(w, "starting", http.StatusServiceUnavailable)
+			http.Error(w, "takes no clients", http.StatusServiceUnavailable)
 		}
 		return
 	}
@@ -182,6 +262,9 @@
 
 // write sends the final answer.
 func (f *front) write(w http.ResponseWriter, a answer) {
+	if f.emptying.Load() { // it may have begun since the request came
+		w.Header().Set("Connection", "close")
+	}
 	switch {
 	case a.verdict == served:
 		for name, values := range endToEnd(a.header) {
@@ -212,7 +295,31 @@
 // clientConn is a client's connection that tells whether this agent has closed it.
 type clientConn struct {
 	net.Conn
-	closed atomic.Bool
+	closed  atomic.Bool
+	leaving atomic.Bool // to be closed if nothing has come
+	begun   atomic.Bool // bytes have come since it idled last
+}
+
+// leave has the connection closed by whoever reads it, unless a request has come.
+func (c *clientConn) leave() {
+	c.leaving.Store(true)
+	c.SetReadDeadline(time.Unix(1, 0))
+}
+
+// Read is where a connection that is to leave ends. Its reader looks once more at what has
+// come, so that no request is crossed that was there before.
+func (c *clientConn) Read(p []byte) (int, error) {
+	for {
+		n, err := c.Conn.Read(p)
+		if n > 0 {
+			c.begun.Store(true)
+		}
+		if n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) || !c.leaving.Swap(false) ||
+			!c.begun.Load() && alive(c.Conn) {
+			return n, err
+		}
+		c.SetReadDeadline(time.Now().Add(headTime))
+	}
 }
 
 func (c *clientConn) Close() error {
@@ -245,6 +352,7 @@
 	closing int
 	order   list.List // idle connections, the longest idle first
 	idle    map[net.Conn]*list.Element
+	left    chan struct{} // if anyone waits for it: closed once none is open
 }
 
 func newClientConns(most int) *clientConns {
@@ -259,6 +367,9 @@
 	case http.StateNew:
 		c.open[nc] = false
 	case http.StateIdle:
+		if cc, ok := nc.(*clientConn); ok {
+			cc.begun.Store(false)
+		}
 		if !c.open[nc] {
 			c.idle[nc] = c.order.PushBack(nc)
 		}
@@ -267,6 +378,10 @@
 			c.closing--
 		}
 		delete(c.open, nc)
+		if len(c.open) == 0 && c.left != nil {
+			close(c.left)
+			c.left = nil
+		}
 	}
 	for len(c.open)-c.closing > c.max*7/8 && c.order.Len() > 0 {
 		oldest := c.order.Front().Value.(net.Conn)
@@ -284,3 +399,47 @@
 		delete(c.idle, nc)
 	}
 }
+
+// empty closes idle connections until ctx ends: not at once, as connections still come
+// and clients still choose among those they have.
+func (c *clientConns) empty(ctx context.Context) {
+	sweep := time.NewTimer(linger)
+	defer sweep.Stop()
+	for {
+		select {
+		case <-sweep.C:
+		case <-ctx.Done():
+			return
+		}
+		c.mu.Lock()
+		for nc := range c.idle {
+			if cc, ok := nc.(*clientConn); ok {
+				cc.leave()
+			}
+		}
+		c.mu.Unlock()
+		sweep.Reset(sweepIdle)
+	}
+}
+
+// none returns a channel that is closed once no connection is open.
+func (c *clientConns) none() <-chan struct{} {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.left == nil {
+		c.left = make(chan struct{})
+		if len(c.open) == 0 {
+			left := c.left
+			c.left = nil
+			close(left)
+			return left
+		}
+	}
+	return c.left
+}
+
+func (c *clientConns) size() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.open)
+}
--- /dev/null
+++ b/internal/agent/management_test.go
@@ -0,0 +1,197 @@
+package agent
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+	"testing"
+	"time"
+)
+
+// call makes an operators' call and returns its status.
+func (a *testAgent) call(method, path string) int {
+	a.t.Helper()
+	req, err := http.NewRequest(method, "http://"+a.door+path, nil)
+	if err != nil {
+		a.t.Fatal(err)
+	}
+	resp, err := testClient.Do(req)
+	if err != nil {
+		a.t.Fatal(err)
+	}
+	resp.Body.Close()
+	if !resp.Close {
+		a.t.Errorf("%s %s: the connection stays open for another call", method, path)
+	}
+	return resp.StatusCode
+}
+
+// kept is a client's connection that stays open.
+type kept struct {
+	net.Conn
+	br *bufio.Reader
+}
+
+func (a *testAgent) dial() *kept {
+	a.t.Helper()
+	c, err := net.Dial("tcp", a.addr)
+	if err != nil {
+		a.t.Fatal(err)
+	}
+	a.t.Cleanup(func() { c.Close() })
+	c.SetDeadline(time.Now().Add(patience))
+	return &kept{c, bufio.NewReader(c)}
+}
+
+func (k *kept) ask(t *testing.T) *http.Response {
+	t.Helper()
+	fmt.Fprint(k, "GET /api/a HTTP/1.1\r\nHost: x\r\nRequest-Id: 1\r\nRequest-Class: read\r\nRequest-Timeout-Ms: 4000\r\n\r\n")
+	resp, err := http.ReadResponse(k.br, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	io.Copy(io.Discard, resp.Body)
+	return resp
+}
+
+// ends waits for the connection's orderly end.
+func (k *kept) ends(t *testing.T) {
+	t.Helper()
+	if _, err := k.br.ReadByte(); err != io.EOF {
+		t.Errorf("the connection ended with %v, want EOF", err)
+	}
+}
+
+func (a *testAgent) asksReady() int {
+	a.t.Helper()
+	resp, err := testClient.Get("http://" + a.addr + "/-/ready")
+	if err != nil {
+		a.t.Fatal(err)
+	}
+	resp.Body.Close()
+	return resp.StatusCode
+}
+
+func TestOperatorsDrainAndRefill(t *testing.T) {
+	a, b := one(t, serving)
+	wantStatus(t, a.call("GET", "/ops/readiness"), 200)
+	wantStatus(t, a.call("PUT", "/ops/nonsense"), 404)
+	wantStatus(t, a.call("GET", "/ops/drain/start"), 405)
+	used, idle := a.dial(), a.dial()
+	if used.ask(t).Close || idle.ask(t).Close {
+		t.Error("a connection is closed without need")
+	}
+	wantStatus(t, a.call("PUT", "/ops/drain/start"), 200)
+	wantStatus(t, a.call("PUT", "/ops/drain/start"), 200) // says what is so already
+	wantStatus(t, a.asksReady(), 503)
+	wantStatus(t, a.call("GET", "/ops/readiness"), 200) // it still serves whom it has
+	if resp := used.ask(t); resp.StatusCode != 200 || !resp.Close {
+		t.Errorf("while emptied: answered %d, closes %v", resp.StatusCode, resp.Close)
+	}
+	used.ends(t)
+	idle.ends(t)
+	late := a.dial() // who does not know yet is served
+	if resp := late.ask(t); resp.StatusCode != 200 || !resp.Close {
+		t.Errorf("a late client: answered %d, closes %v", resp.StatusCode, resp.Close)
+	}
+	wantStatus(t, a.call("PUT", "/ops/drain/stop"), 200)
+	wantStatus(t, a.asksReady(), 200)
+	again := a.dial()
+	for range 3 {
+		if resp := again.ask(t); resp.StatusCode != 200 || resp.Close {
+			t.Errorf("after the drain: answered %d, closes %v", resp.StatusCode, resp.Close)
+		}
+	}
+	if b.count() != 7 {
+		t.Errorf("%d arrivals, want 7", b.count())
+	}
+}
+
+// Callers that bring nothing, or half a call, neither keep others out nor stay, and half
+// a call does nothing.
+func TestOperatorsAreAnsweredBesideSilentCallers(t *testing.T) {
+	a, _ := one(t, serving)
+	var silent []net.Conn
+	for i := range 3 * maxCalls {
+		c, err := net.Dial("tcp", a.door)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		c.SetDeadline(time.Now().Add(patience))
+		fmt.Fprint(c, []string{"", "PUT /ops/dra", "PUT /ops/drain/start HTTP/1.1\r\nHost: x\r\nContent-Length: 9\r\n\r\nhalf"}[i%3])
+		silent = append(silent, c)
+	}
+	for range 5 {
+		wantStatus(t, a.call("GET", "/ops/readiness"), 200)
+	}
+	for _, c := range silent {
+		text, err := io.ReadAll(c)
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			t.Fatal("a caller that brings nothing stays")
+		}
+		if strings.HasPrefix(string(text), "HTTP/1.1 2") {
+			t.Errorf("half a call was answered %q", text)
+		}
+	}
+	wantStatus(t, a.asksReady(), 200)
+}
+
+func TestOperatorsDoNotWaitForTheLoop(t *testing.T) {
+	a, _ := one(t, serving)
+	release := make(chan struct{})
+	a.loop.post(func() { <-release })
+	defer close(release)
+	wantStatus(t, a.call("GET", "/ops/readiness"), 200)
+	wantStatus(t, a.call("PUT", "/ops/drain/start"), 200)
+	wantStatus(t, a.asksReady(), 503)
+}
+
+// A connection that is to leave ends only if no request has come on it.
+func TestLeavingCrossesNoRequest(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	pair := func() (net.Conn, *clientConn) {
+		client, err := net.Dial("tcp", ln.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { client.Close() })
+		c, err := clientListener{ln}.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { c.Close() })
+		return client, c.(*clientConn)
+	}
+	buf := make([]byte, 10)
+
+	_, c := pair()
+	c.leave()
+	if _, err := c.Read(buf); !errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Errorf("nothing has come: %v", err)
+	}
+
+	client, c := pair()
+	client.Write([]byte("GET"))
+	for alive(c.Conn) { // until it has arrived
+		time.Sleep(time.Millisecond)
+	}
+	c.leave()
+	if n, err := c.Read(buf); string(buf[:n]) != "GET" || err != nil {
+		t.Errorf("a request has come: read %q, %v", buf[:n], err)
+	}
+	c.leave() // its rest has not come yet
+	time.AfterFunc(50*time.Millisecond, func() { client.Write([]byte(" /")) })
+	if n, err := c.Read(buf); string(buf[:n]) != " /" || err != nil {
+		t.Errorf("half a request has come: read %q, %v", buf[:n], err)
+	}
+}
