Take new settings at SIGHUP whole and in one step

Ruled out: the drain, whose calls were all answered and after which /-/ready said yes again. At fault: loop.reload, which left the settings as they were, and front.classes, an index into a table that could not change. A request now carries its class's rules and its attempts. The module finds what it learned of a class by name. A file that lacks a key of the file in force is refused whole.

--- a/cmd/ringtrack/main.go
+++ b/cmd/ringtrack/main.go
@@ -53,7 +53,7 @@
 		"management", operators, "membership", cfg.Settings.Membership,
 		"agents", cfg.Settings.Replicas, "known", len(cfg.Known.Servers), "prices", fmt.Sprintf("%+v", cfg.Settings.Prices))
 	reloads := make(chan *agent.Config)
-	go reload(stop, hangups, reloads)
+	go reload(stop, cfg, hangups, reloads)
 	return agent.Run(stop, cfg, ln, reloads)
 }
 
@@ -90,20 +90,21 @@
 
 // reload hands on the configuration at each hangup until stop is done. A file that
 // can't be used changes nothing.
-func reload(stop context.Context, hangups <-chan os.Signal, reloads chan<- *agent.Config) {
+func reload(stop context.Context, inForce *agent.Config, hangups <-chan os.Signal, reloads chan<- *agent.Config) {
 	for {
 		select {
 		case <-hangups:
 		case <-stop.Done():
 			return
 		}
-		cfg, err := agent.ReloadConfig(os.Getenv)
+		cfg, err := agent.ReloadConfig(os.Getenv, inForce)
 		if err != nil {
 			slog.Error("reload failed, the old configuration stays", "err", err)
 			continue
 		}
 		select {
 		case reloads <- cfg:
+			inForce = cfg
 		case <-stop.Done():
 			return
 		}
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -21,7 +21,7 @@
 
 // Run serves until stop is done, then ends in order. It returns nil when every
 // request that was held has been answered. Each configuration that comes on reloads
-// replaces the address of discovery; the rest of it takes effect at a start only.
+// replaces the settings and the address of discovery; the rest takes effect at a start only.
 func Run(stop context.Context, cfg *Config, ln Listeners, reloads <-chan *Config) error {
 	return run(stop, cfg, ln, reloads, func(*loop) {})
 }
@@ -56,6 +56,7 @@
 		go serve()
 		serve = nil
 	}
+	held := cfg.heldFor()
 	for serving := true; serving; {
 		select {
 		case <-usable:
@@ -69,12 +70,14 @@
 		case err := <-failed:
 			return err
 		case c := <-reloads:
+			held = max(held, c.heldFor()) // what is open keeps its old deadline
+			f.retune(c)
 			l.post(func() { l.reload(c) })
 		case <-stop.Done():
 			serving = false
 		}
 	}
-	if err := f.shutdown(clients, ln.Shared, cfg.heldFor()); err != nil {
+	if err := f.shutdown(clients, ln.Shared, held); err != nil {
 		slog.Warn("shutdown", "err", err)
 	}
 	cancel()
--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -300,6 +300,9 @@
 	}
 }
 
+// orderRules are those of a class that must never run twice.
+var orderRules = &policy.Rules{Class: policy.Class{Name: "order", AimMs: 2000, GiveUpMs: 4000, Effect: policy.SingleShot}, MaxAttempts: 3}
+
 // The backstop answers before the deadline when the module does not.
 func TestBackstop(t *testing.T) {
 	l, err := newLoop(t.Context(), startAgent(t, newDiscoveryServer(t, target("s-1", "127.0.0.1:1")), nil).loop.cfg, func() {})
@@ -307,7 +310,7 @@
 		t.Fatal(err)
 	}
 	// A request that the module was never told of stands for one that it forgot.
-	c := &call{class: 2, deadline: time.Now().Add(time.Second), answer: make(chan answer, 1)}
+	c := &call{rules: orderRules, deadline: time.Now().Add(time.Second), answer: make(chan answer, 1)}
 	r := &request{id: 1, call: c}
 	l.requests[1], l.open = r, 1
 	l.late(r)
@@ -343,13 +346,13 @@
 		{"fourth attempt", request{attempts: make([]*attempt, 4)}, up(), now.Add(time.Second), false},
 		{"no time", request{}, up(), now, false},
 	} {
-		test.r.call = &call{class: 2}
+		test.r.call = &call{rules: orderRules}
 		if why := l.forbidden(&test.r, test.b, now, test.until); (why == "") != test.want {
 			t.Errorf("%s: %q", test.name, why)
 		}
 	}
 	// A refusal after an attempt that may have run is turned into a failure.
-	c := &call{class: 2, answer: make(chan answer, 1)}
+	c := &call{rules: orderRules, answer: make(chan answer, 1)}
 	done := make(chan bool)
 	l.post(func() { l.refuse(&request{id: 1 << 30, call: c, mayRun: 1}, 1); close(done) })
 	<-done
@@ -678,20 +681,6 @@
 	}
 }
 
-func TestUnknownTenant(t *testing.T) {
-	b := newBackend(t, serving)
-	a := startAgent(t, newDiscoveryServer(t, target("s-1", b.addr)), func(c *Config) {
-		c.Settings.Tenants = []policy.Tenant{{Name: "acme", Portion: 1}}
-	})
-	for name, want := range map[string]int{"acme": 200, "nobody": 400, "": 400} {
-		req := newRequest(a.addr, "order", "x")
-		req.Header.Set("Tenant", name)
-		if status, _, _ := a.ask(req); status != want {
-			t.Errorf("tenant %q: answered %d, want %d", name, status, want)
-		}
-	}
-}
-
 // The log tells the whole course of a request that ended badly, by its id.
 func TestCourseOfABadRequestIsLogged(t *testing.T) {
 	a, b := one(t, func(c net.Conn, _ *http.Request, _ int) bool { return send(c, 500, "", "") })
--- a/internal/agent/backend.go
+++ b/internal/agent/backend.go
@@ -49,11 +49,12 @@
 // tell whether the last byte was written, on which hangs whether an attempt may
 // have run.
 type pool struct {
+	max int
+
+	mu             sync.Mutex
 	connectTimeout time.Duration
 	keepalive      time.Duration // idle connections older than this are not used again
-	max            int
 
-	mu    sync.Mutex
 	idle  map[string][]*conn // by address, the most recently used last
 	open  int
 	tried int // connects since the start
@@ -79,20 +80,24 @@
 var errTooMany = errors.New("no descriptor left for a connection")
 
 func newPool(c *Config) *pool {
-	p := &pool{
-		connectTimeout: ms(c.Settings.Limits.ConnectTimeoutMs),
-		// The backend closes at keepalive at the latest; half of it is well before.
-		keepalive: ms(c.Settings.Limits.KeepaliveMs / 2),
-		max:       c.backendConns(),
-		idle:      map[string][]*conn{},
-	}
+	p := &pool{max: c.backendConns(), idle: map[string][]*conn{}}
+	p.retune(c)
+	return p
+}
+
+// retune puts the settings in force for connections from now on.
+func (p *pool) retune(c *Config) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.connectTimeout = ms(c.Settings.Limits.ConnectTimeoutMs)
+	// The backend closes at keepalive at the latest; half of it is well before.
+	p.keepalive = ms(c.Settings.Limits.KeepaliveMs / 2)
 	if p.connectTimeout <= 0 {
 		p.connectTimeout = time.Second
 	}
 	if p.keepalive <= 0 {
 		p.keepalive = time.Second
 	}
-	return p
 }
 
 // do makes one attempt and returns how it ended, exactly once. It never sends
@@ -116,7 +121,7 @@
 		return []byte("GET /-/healthy HTTP/1.1\r\nHost: " + host + "\r\n\r\n"), nil
 	}
 	sent := time.Now()
-	r := p.exchange(ctx, b, addr, http.MethodGet, wire, sent.Add(2*p.connectTimeout))
+	r := p.exchange(ctx, b, addr, http.MethodGet, wire, sent.Add(2*p.patience()))
 	r.latencyMs = float64(time.Since(sent).Microseconds()) / 1000
 	return r
 }
@@ -319,8 +324,9 @@
 	}
 	p.open++
 	p.tried++
+	until := earliest(deadline, time.Now().Add(p.connectTimeout))
 	p.mu.Unlock()
-	dialer := net.Dialer{Deadline: earliest(deadline, time.Now().Add(p.connectTimeout)), KeepAlive: -1}
+	dialer := net.Dialer{Deadline: until, KeepAlive: -1}
 	nc, err := dialer.DialContext(ctx, "tcp", addr)
 	if err != nil {
 		p.mu.Lock()
@@ -383,6 +389,13 @@
 	return p.times.limit(p.keepalive)
 }
 
+// patience is how long a connect may take.
+func (p *pool) patience() time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.connectTimeout
+}
+
 // size is the number of connections that are open or being opened.
 func (p *pool) size() int {
 	p.mu.Lock()
--- a/internal/agent/config.go
+++ b/internal/agent/config.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"maps"
 	"math"
 	"net"
 	"os"
@@ -27,6 +28,8 @@
 	Settings   policy.Settings
 	Zones      []string // names of zones and of machine kinds, by the number the module knows
 	Kinds      []string
+
+	text map[string]any // the file, to compare the next with
 }
 
 // file is the form of $PROXY_CONFIG.
@@ -43,6 +46,8 @@
 	} `json:"limits"`
 	Known    List            `json:"known"`
 	Settings json.RawMessage `json:"settings"`
+
+	text map[string]any // all of it
 }
 
 // LoadConfig reads the configuration from the environment and from the file it
@@ -66,15 +71,76 @@
 }
 
 // ReloadConfig reads the file again, in service. What the file says now is later than
-// what the environment said at the start, so the file wins.
-func ReloadConfig(getenv func(string) string) (*Config, error) {
+// what the environment said at the start, so the file wins. A key that was there in the file
+// in force and is not now is an error: read as a zero it would be a setting nobody made.
+func ReloadConfig(getenv func(string) string, now *Config) (*Config, error) {
 	f, err := readFile(getenv)
 	if err != nil {
 		return nil, err
 	}
+	if key := missing(now.text, f.text); key != "" {
+		return nil, fmt.Errorf("config: %s: missing, though it was there before", key)
+	}
 	return f.config()
 }
 
+// missing names a key that an object has and its successor has not; "" if there is none.
+// Of a list of objects only the keys count that all of them have.
+func missing(now, then map[string]any) string {
+	for key, old := range now {
+		value := then[key]
+		if value == nil && old != nil {
+			return key
+		}
+		within := ""
+		switch old := old.(type) {
+		case map[string]any:
+			value, ok := value.(map[string]any)
+			if !ok {
+				return key
+			}
+			within = missing(old, value)
+		case []any:
+			value, ok := value.([]any)
+			if !ok {
+				return key
+			}
+			if key == "known" || key == "servers" {
+				continue // the list is another at any time
+			}
+			common := commonKeys(old)
+			for i := range value {
+				if item, ok := value[i].(map[string]any); ok && within == "" {
+					within = missing(common, item)
+				}
+			}
+		}
+		if within != "" {
+			return key + "." + within
+		}
+	}
+	return ""
+}
+
+// commonKeys is an object of the keys that all objects of a list have, but for those that
+// only some effects of a class call for.
+func commonKeys(list []any) map[string]any {
+	var common map[string]any
+	for _, item := range list {
+		object, ok := item.(map[string]any)
+		if !ok {
+			return nil
+		}
+		if common == nil {
+			common = maps.Clone(object)
+			delete(common, "group")
+			delete(common, "keyTtlMs")
+		}
+		maps.DeleteFunc(common, func(key string, _ any) bool { return object[key] == nil })
+	}
+	return common
+}
+
 func readFile(getenv func(string) string) (*file, error) {
 	path := getenv("PROXY_CONFIG")
 	if path == "" {
@@ -85,14 +151,16 @@
 		return nil, fmt.Errorf("config: %w", err)
 	}
 	f := new(file)
-	if err := json.Unmarshal(text, f); err != nil {
-		return nil, fmt.Errorf("config: %s: %w", path, err)
+	for _, to := range []any{f, &f.text} {
+		if err := json.Unmarshal(text, to); err != nil {
+			return nil, fmt.Errorf("config: %s: %w", path, err)
+		}
 	}
 	return f, nil
 }
 
 func (f *file) config() (*Config, error) {
-	c := &Config{Name: f.Name, Listen: f.Listen, Discovery: f.Discovery, Management: f.Management, Known: f.Known,
+	c := &Config{Name: f.Name, Listen: f.Listen, Discovery: f.Discovery, Management: f.Management, Known: f.Known, text: f.text,
 		Cores: f.Limits.Cores, MemoryMB: f.Limits.MemoryMB, Sockets: f.Limits.Sockets}
 	for _, a := range []struct{ key, value string }{{"listen", c.Listen}, {"discovery", c.Discovery},
 		{"management", c.Management}} {
--- a/internal/agent/config_test.go
+++ b/internal/agent/config_test.go
@@ -67,3 +67,68 @@
 		}
 	}
 }
+
+// What a file lacks or gets wrong leaves the settings in force as they are, whole.
+func TestReloadRefusesBrokenFiles(t *testing.T) {
+	good := `{"name":"n1","listen":"127.0.0.1:1","discovery":"127.0.0.1:2","seed":"1",
+"limits":{"cores":1,"memory_mb":64,"sockets":256},"known":{"version":1,"full":true,"servers":[{"id":"a","addr":"127.0.0.1:9"}]},"settings":` + testSettings + `}`
+	path := filepath.Join(t.TempDir(), "config.json")
+	getenv := func(name string) string {
+		if name == "PROXY_CONFIG" {
+			return path
+		}
+		return ""
+	}
+	write := func(text string) {
+		t.Helper()
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	write(good)
+	now, err := LoadConfig(getenv)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, fine := range []struct{ from, to string }{
+		{"", ""},
+		{`{"name":"send"`, `{"name":"later"`},
+		{`"effect":"guarded","group":"all","keyTtlMs":8000`, `"effect":"single_shot"`},
+		{`"maxAttempts":3`, `"maxAttempts":1`},
+		{`"servers":[{"id":"a","addr":"127.0.0.1:9"}]`, `"servers":[]`},
+	} {
+		write(strings.Replace(good, fine.from, fine.to, 1))
+		if _, err := ReloadConfig(getenv, now); err != nil {
+			t.Errorf("%q for %q: %v", fine.to, fine.from, err)
+		}
+	}
+	for _, bad := range []struct{ from, to, want string }{
+		{good, ``, "config"},
+		{good, `{}`, "missing"},
+		{good, good[:len(good)/2], "config"},
+		{`"seed":"1",`, ``, "seed: missing"},
+		{`"cores":1,`, ``, "limits.cores: missing"},
+		{`"maxAttempts":3,`, ``, "settings.limits.maxAttempts: missing"},
+		{`"coldMs":8000,`, ``, "settings.contract.coldMs: missing"},
+		{`"coldMs":8000,`, `"coldMs":null,`, "settings.contract.coldMs: missing"},
+		{`{"name":"send","aimMs":2000,`, `{"name":"send",`, "settings.classes.aimMs: missing"},
+		{`"credit":5,`, ``, "settings.classes.credit: missing"},
+		{`"giveUpMs":4000,"effect":"guarded"`, `"giveUpMs":0,"effect":"guarded"`, "giveUpMs"},
+		{`"giveUpMs":4000,"effect":"guarded"`, `"giveUpMs":-4,"effect":"guarded"`, "giveUpMs"},
+		{`"maxAttempts":3`, `"maxAttempts":0`, "maxAttempts"},
+		{`"maxAttempts":3`, `"maxAttempts":-1`, "maxAttempts"},
+		{`"maxAttempts":3`, `"maxAttempts":"3"`, "maxAttempts"},
+		{`"classes":[`, `"classes":[],"other":[`, "classes"},
+		{`"classes":[`, `"classes":{},"other":[`, "classes"},
+		{`"keyTtlMs":8000`, `"keyTtlMs":0`, "keyTtlMs"},
+		{`"group":"all",`, ``, "group"},
+		{`"name":"send"`, `"name":"read"`, "name"},
+		{`"name":"send"`, `"name":""`, "name"},
+	} {
+		write(strings.Replace(good, bad.from, bad.to, 1))
+		_, err := ReloadConfig(getenv, now)
+		if err == nil || !strings.Contains(err.Error(), bad.want) || strings.Contains(err.Error(), "\n") {
+			t.Errorf("%.40q for %.40q: error %v, want one line with %q", bad.to, bad.from, err, bad.want)
+		}
+	}
+}
--- a/internal/agent/front.go
+++ b/internal/agent/front.go
@@ -36,11 +36,9 @@
 
 // front serves the clients.
 type front struct {
-	cfg     *Config
 	loop    *loop
 	server  *http.Server
-	classes map[string]int
-	tenants map[string]int
+	classes atomic.Pointer[classTable]
 	conns   *clientConns
 
 	usable  atomic.Bool // a backend may be sent to
@@ -55,13 +53,8 @@
 }
 
 func newFront(cfg *Config) *front {
-	f := &front{cfg: cfg, classes: map[string]int{}, tenants: map[string]int{}}
-	for i, c := range cfg.Settings.Classes {
-		f.classes[c.Name] = i
-	}
-	for i, t := range cfg.Settings.Tenants {
-		f.tenants[t.Name] = i
-	}
+	f := &front{}
+	f.retune(cfg)
 	f.conns = newClientConns(cfg.clientConns())
 	f.server = &http.Server{
 		Handler:           f,
@@ -79,6 +72,22 @@
 	return f
 }
 
+// classTable has the rules of each class by its name, and what else settings say of requests.
+// It is never changed, but replaced.
+type classTable struct {
+	rules      map[string]*policy.Rules
+	marksRetry bool
+}
+
+// retune puts the settings in force for requests that come from now on.
+func (f *front) retune(cfg *Config) {
+	t := &classTable{rules: map[string]*policy.Rules{}, marksRetry: cfg.Settings.Clients.MarksRetry}
+	for _, c := range cfg.Settings.Classes {
+		t.rules[c.Name] = &policy.Rules{Class: c, MaxAttempts: cfg.Settings.Limits.MaxAttempts}
+	}
+	f.classes.Store(t)
+}
+
 // limited is the listener with which clients beyond the limit wait in the accept queue,
 // not as descriptors.
 func (f *front) limited(ln net.Listener) net.Listener {
@@ -226,19 +235,14 @@
 		return nil, http.StatusMethodNotAllowed, fmt.Errorf("method %s is not allowed", req.Method)
 	}
 	c := &call{id: h.Get("Request-Id"), came: now, method: req.Method, host: req.Host, url: req.URL, header: h, answer: make(chan answer, 1)}
-	var ok bool
-	if c.class, ok = f.classes[h.Get("Request-Class")]; !ok {
+	classes := f.classes.Load()
+	if c.rules = classes.rules[h.Get("Request-Class")]; c.rules == nil {
 		return bad("unknown Request-Class")
 	}
-	if len(f.tenants) > 0 {
-		if c.tenant, ok = f.tenants[h.Get("Tenant")]; !ok {
-			return bad("unknown Tenant")
-		}
-	}
 	if c.id == "" {
 		return bad("no Request-Id")
 	}
-	if f.cfg.Settings.Classes[c.class].Effect == policy.Guarded && h.Get("Idempotency-Key") == "" {
+	if c.rules.Effect == policy.Guarded && h.Get("Idempotency-Key") == "" {
 		return bad("no Idempotency-Key, which this class needs")
 	}
 	left, err := strconv.Atoi(h.Get("Request-Timeout-Ms"))
@@ -246,7 +250,7 @@
 		return bad("Request-Timeout-Ms is no whole number from 1 to %d", maxTimeout)
 	}
 	c.deadline = now.Add(time.Duration(left) * time.Millisecond)
-	c.retry = f.cfg.Settings.Clients.MarksRetry && h.Get("Client-Retry") == "1"
+	c.retry = classes.marksRetry && h.Get("Client-Retry") == "1"
 	if dir, last := path.Split(req.URL.EscapedPath()); len(dir) > 1 && last != "" {
 		c.key = hashString(last)
 	}
--- a/internal/agent/loop.go
+++ b/internal/agent/loop.go
@@ -82,8 +82,7 @@
 	url          *url.URL
 	header       http.Header
 	body         []byte
-	class        int
-	tenant       int
+	rules        *policy.Rules // as they were when it came
 	key          uint64
 	retry        bool
 	deadline     time.Time
@@ -136,7 +135,8 @@
 		return nil, err
 	}
 	now := time.Now()
-	l := &loop{cfg: cfg, ctx: ctx, balancer: balancer, table: newTable(cfg.Zones, cfg.Kinds),
+	own := *cfg // its settings change as the loop says
+	l := &loop{cfg: &own, ctx: ctx, balancer: balancer, table: newTable(cfg.Zones, cfg.Kinds),
 		pool: newPool(cfg), logger: slog.Default(), limit: rate.NewLimiter(5, 50), lines: make(chan func(), 64), inbox: make(chan func(), 4096),
 		started: now, baseMs: float64(now.UnixMicro()) / 1000,
 		requests: map[policy.RequestID]*request{}, ready: ready,
@@ -276,7 +276,7 @@
 		l.post(func() { l.late(r) })
 	})
 	left -= min(moduleMargin, left/8)
-	l.handle(&policy.Event{Kind: policy.EvRequest, Request: r.id, Class: c.class, Tenant: c.tenant,
+	l.handle(&policy.Event{Kind: policy.EvRequest, Request: r.id, Rules: c.rules,
 		Key: c.key, LeftMs: float64(left.Microseconds()) / 1000, Retry: c.retry})
 	return r
 }
@@ -318,7 +318,7 @@
 // refuse answers that a retry is harmless, unless an attempt may have run that
 // makes it harmful: then the request has failed.
 func (l *loop) refuse(r *request, afterMs float64) {
-	c := &l.cfg.Settings.Classes[r.call.class]
+	c := r.call.rules
 	if r.mayRun > 0 && (c.Effect == policy.SingleShot || c.Effect == policy.Guarded && c.Group != policy.GroupAll) {
 		l.guard("refusal after an attempt that may have run", "id", r.call.id)
 		l.finish(r, answer{verdict: failed})
@@ -332,7 +332,7 @@
 	if r.answered {
 		return
 	}
-	aim := ms(l.cfg.Settings.Classes[r.call.class].AimMs)
+	aim := ms(r.call.rules.AimMs)
 	switch {
 	case a.verdict == served && time.Since(r.call.came) <= aim:
 		l.figures.served++
@@ -432,7 +432,7 @@
 
 // forbidden guards the contract whatever the module says; "" allows the attempt.
 func (l *loop) forbidden(r *request, b *backend, now, until time.Time) string {
-	c := &l.cfg.Settings.Classes[r.call.class]
+	c := r.call.rules
 	switch {
 	case r.answered:
 		return "attempt for a request that is over"
@@ -442,7 +442,7 @@
 		return "attempt to a backend that drains or is gone"
 	case r.out > 0:
 		return "second attempt while one is out"
-	case len(r.attempts) > l.cfg.Settings.Limits.MaxAttempts:
+	case len(r.attempts) > c.MaxAttempts:
 		return "more attempts than allowed"
 	case r.mayRun > 0 && c.Effect == policy.SingleShot:
 		return "repeat of an unsafe request that may have run"
@@ -476,8 +476,17 @@
 
 // ---- discovery ----
 
-// reload takes over what may change in service: where discovery is.
+// reload takes over what may change in service: the settings and where discovery is.
 func (l *loop) reload(cfg *Config) {
+	if err := l.balancer.Retune(cfg.Settings); err != nil {
+		// The file was checked as a whole: nothing of it may be in force without the rest.
+		l.write(slog.LevelError, "settings not taken over", "err", err)
+		return
+	}
+	l.cfg.Settings = cfg.Settings
+	l.pool.retune(cfg)
+	l.write(slog.LevelInfo, "settings taken over", "classes", len(cfg.Settings.Classes),
+		"max_attempts", cfg.Settings.Limits.MaxAttempts)
 	if cfg.Discovery == l.cfg.Discovery {
 		return
 	}
@@ -568,7 +577,7 @@
 			fmt.Fprintf(&steps, " ended %d after %.0f: %s]", t.end, t.tookMs, t.why)
 		}
 	}
-	l.write(slog.LevelInfo, "request "+how, "id", c.id, "class", l.cfg.Settings.Classes[c.class].Name,
+	l.write(slog.LevelInfo, "request "+how, "id", c.id, "class", c.rules.Name,
 		"retry", c.retry, "after_ms", sinceMs(time.Now()), "of_ms", sinceMs(c.deadline),
 		"open", l.open, "attempts", steps.String())
 }
--- a/internal/agent/management_test.go
+++ b/internal/agent/management_test.go
@@ -11,6 +11,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"clayproxy.example/clayproxy/policy"
 )
 
 // call makes an operators' call and returns its status.
@@ -195,3 +197,54 @@
 		t.Errorf("half a request has come: read %q, %v", buf[:n], err)
 	}
 }
+
+// New settings in service: classes come and go, another effect and fewer attempts hold for
+// what comes from then on, and what is open keeps the rules that it came under.
+func TestRetune(t *testing.T) {
+	hold, answer := make(chan struct{}, 10), make(chan struct{})
+	a, b := one(t, func(c net.Conn, req *http.Request, n int) bool {
+		switch {
+		case req.URL.Query().Has("held") && n == 0:
+			hold <- struct{}{}
+			<-answer
+			return send(c, 500, "", "")
+		case req.URL.Query().Has("fails"):
+			return send(c, 500, "", "")
+		}
+		return serving(c, req, n)
+	})
+	ask := func(class, query string) int {
+		req := newRequest(a.addr, class, "x")
+		req.URL.RawQuery = query
+		status, _, _ := a.ask(req)
+		return status
+	}
+	open := make(chan int, 1)
+	go func() { open <- ask("read", "held") }()
+	<-hold
+	cfg := *a.loop.cfg
+	cfg.Settings.Limits.MaxAttempts = 1
+	cfg.Settings.Classes = []policy.Class{
+		{Name: "read", AimMs: 1000, GiveUpMs: 3000, Effect: policy.SingleShot, Credit: 1},
+		{Name: "fresh", AimMs: 1000, GiveUpMs: 3000, Effect: policy.SingleShot, Credit: 1},
+	}
+	lines := a.logged(t)
+	a.reloads <- &cfg
+	waitLine(t, lines, "settings taken over")
+	close(answer)
+	wantStatus(t, <-open, 200) // its second attempt, though now there is only one
+	if b.count() != 2 {
+		t.Errorf("%d arrivals of the open request, want 2", b.count())
+	}
+	wantStatus(t, ask("fresh", ""), 200)
+	wantStatus(t, ask("read", ""), 200)
+	wantStatus(t, ask("order", ""), 400)
+	before := b.count()
+	wantStatus(t, ask("read", "fails"), 502)
+	if b.count() != before+1 {
+		t.Errorf("%d attempts of a request that may run once", b.count()-before)
+	}
+	if f := a.figures(); f.guarded+f.backstops > 0 {
+		t.Errorf("a guard had to act: %+v", f)
+	}
+}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -181,7 +181,7 @@
 		}
 	case codeAsk:
 		ev.Kind, ev.Request = policy.EvRequest, policy.RequestID(be.Uint32(raw[5:]))
-		ev.Class, ev.Tenant = int(be.Uint16(raw[9:])), int(be.Uint32(raw[11:]))
+		ev.Class = int(be.Uint16(raw[9:]))
 		ev.Key, ev.LeftMs, ev.Retry = be.Uint64(raw[15:]), getF64(raw[23:]), raw[39]&2 != 0
 	case codeVerdict:
 		ev.Kind, ev.Request = policy.EvOutcome, policy.RequestID(be.Uint32(raw[5:]))
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -85,20 +85,27 @@
 // New returns the balancer of one agent, or an error that names the setting
 // that makes no sense. All its randomness comes from the seed.
 func New(set Settings, seed uint64) (*Balancer, error) {
-	if err := set.validate(); err != nil {
-		return nil, err
-	}
-	b := &Balancer{set: set, rng: rand.New(rand.NewPCG(seed, mix(seed))), byAddr: map[Addr]*server{},
+	b := &Balancer{rng: rand.New(rand.NewPCG(seed, mix(seed))), byAddr: map[Addr]*server{},
 		requests: map[RequestID]*request{}, keys: map[uint64]float64{}, mayProbe: probeCap,
 		own: ownLeast, room: math.Inf(1), again: againMost, tried: shedMemory / 2, gained: shedMemory / 2,
-		usage:  make([]float64, len(set.Tenants)),
-		aimMin: math.Inf(1), lookedAt: math.Inf(-1)}
+		lookedAt: math.Inf(-1)}
+	return b, b.Retune(set)
+}
+
+// Retune puts settings in force, or returns an error that names the one that makes no sense.
+// What was learned stays, and requests that are open keep their classes' rules.
+func (b *Balancer) Retune(set Settings) error {
+	if err := set.validate(); err != nil {
+		return err
+	}
+	var classes []*class
+	b.aimMin = math.Inf(1)
 	for _, c := range set.Classes {
-		b.expect = append(b.expect, c.AimMs*crowdShare/2)
+		classes = append(classes, b.classOf(c))
 		b.aimMin = min(b.aimMin, c.AimMs)
-		b.asked, b.won = append(b.asked, 1), append(b.won, 1)
 	}
-	return b, nil
+	b.set, b.classes, b.worst = set, classes, classes[0]
+	return nil
 }
 
 // Start gives the first actions of a new agent and appends them to out.
@@ -170,11 +177,15 @@
 // ---- requests ----
 
 func (b *Balancer) onRequest(ev *Event) {
-	if ev.Class < 0 || ev.Class >= len(b.set.Classes) || b.requests[ev.Request] != nil {
+	rules := ev.Rules
+	if rules == nil && ev.Class >= 0 && ev.Class < len(b.classes) {
+		rules = &Rules{b.set.Classes[ev.Class], b.set.Limits.MaxAttempts}
+	}
+	if rules == nil || b.requests[ev.Request] != nil {
 		return
 	}
-	c := &b.set.Classes[ev.Class]
-	r := &request{id: ev.Request, class: ev.Class, tenant: ev.Tenant, key: ev.Key,
+	c := b.classOf(rules.Class)
+	r := &request{id: ev.Request, class: c, most: rules.MaxAttempts, key: ev.Key,
 		arrived: b.now, first: b.now}
 	left := max(ev.LeftMs, 0)
 	r.deadline = b.now + left - min(b.set.RoundMs, left/4)
@@ -184,11 +195,10 @@
 	r.aimAt = min(r.first+c.AimMs, r.deadline)
 	r.spot = b.spot(r.key)
 	b.requests[r.id] = r
-	b.count(r.tenant)
 	b.tally(r.class)
-	for i := range b.won {
-		if b.won[i]*b.asked[b.worst] < b.won[b.worst]*b.asked[i] {
-			b.worst = i
+	for _, c := range b.classes {
+		if c.won*b.worst.asked < b.worst.won*c.asked {
+			b.worst = c
 		}
 	}
 	b.mayProbe = min(b.mayProbe+probeShare, probeCap)
@@ -228,20 +238,17 @@
 // value is the worth that a unit of server time spent on the request earns, by
 // the objective: a part of the whole, and all of the worst class if it is of it.
 func (b *Balancer) value(r *request) float64 {
-	c := &b.set.Classes[r.class]
+	c := r.class
 	o := &b.set.Objective
 	v := c.Credit * (o.Whole + o.WorstWindow)
 	if r.class == b.worst {
-		v += o.WorstClass * b.credit / b.asked[r.class]
+		v += o.WorstClass * b.credit / c.asked
 	}
 	if b.now+b.expected(r) > r.aimAt {
 		v *= c.LateShare + b.set.Prices.LateFail
 	}
-	if b.overShare(r.tenant) {
-		v *= b.set.OverShareWorth
-	}
 	if b.set.WorthBy != "work" {
-		v /= b.expect[r.class]
+		v /= c.expect
 	}
 	return v
 }
@@ -292,7 +299,7 @@
 	for i := 0; i < len(b.held); {
 		r := b.held[i]
 		last := r.aimAt
-		if b.set.Classes[r.class].LateShare > 0 && !b.scarce {
+		if r.class.LateShare > 0 && !b.scarce {
 			last = r.deadline
 		}
 		if b.now+b.expected(r) > last || b.now >= r.deadline {
@@ -312,7 +319,7 @@
 		return 2
 	case UnhealthyPending:
 		// What must not run twice does not check a server while others are healthy.
-		once := b.set.Classes[r.class].Effect == SingleShot
+		once := r.class.Effect == SingleShot
 		if once || b.set.Limits.Probing && b.now-s.since < b.aimMin {
 			return 1
 		}
@@ -491,7 +498,7 @@
 // hasRoom, whose credit every attempt to a cold server is charged in send.
 func (b *Balancer) maySend(r *request, s *server) bool {
 	if !s.usable || r.closed || r.started || r.open > 0 || b.now >= r.deadline ||
-		len(r.attempts) >= b.set.Limits.MaxAttempts {
+		len(r.attempts) >= r.most {
 		return false
 	}
 	for _, a := range r.attempts {
@@ -502,7 +509,7 @@
 	if r.risky == 0 {
 		return true
 	}
-	c := &b.set.Classes[r.class]
+	c := r.class
 	switch c.Effect {
 	case Free:
 		return true
@@ -569,7 +576,7 @@
 		return
 	}
 	b.remember(r)
-	c := &b.set.Classes[r.class]
+	c := r.class
 	// Past the window a repeat of a guarded request would run again.
 	harmless := r.risky == 0 || c.Effect == Free ||
 		c.Effect == Guarded && c.Group == GroupAll && b.now-r.ranAt < c.KeyTTLMs
@@ -647,9 +654,9 @@
 // are served they would only multiply the load (ia9314f, ifa9784: two to six attempts a
 // request, most turned away).
 func (b *Balancer) further(r *request, why Status) {
-	c := &b.set.Classes[r.class]
+	c := r.class
 	able := r.risky == 0 || c.Effect == Free || c.Effect == Guarded
-	if !able || b.again < 1 || len(r.attempts) >= b.set.Limits.MaxAttempts || why == Moot ||
+	if !able || b.again < 1 || len(r.attempts) >= r.most || why == Moot ||
 		b.now >= r.deadline {
 		if why == Full || why == Timeout {
 			b.gain(0) // errors and lost connections tell nothing of crowds
@@ -725,12 +732,12 @@
 	b.again = min(b.again+againShare, againMost)
 	b.heardFrom(s)
 	s.rtt = mean(s.rtt, rtt, smooth)
-	c := &b.set.Classes[r.class]
-	b.expect[r.class] = mean(b.expect[r.class], min(rtt, 2*c.AimMs), 4*slowSmooth)
+	c := r.class
+	c.expect = mean(c.expect, min(rtt, 2*c.AimMs), 4*slowSmooth)
 	gain := c.LateShare
 	if b.now <= r.aimAt {
 		b.weighZone(s, false)
-		b.won[r.class] += 1 - fade
+		c.won += 1 - fade
 		gain = 1
 	}
 	if !r.closed {
@@ -984,11 +991,3 @@
 		s.weight = 1
 	}
 }
-
-// overShare tells whether a tenant sends more than its portion of what comes.
-func (b *Balancer) overShare(tenant int) bool {
-	if tenant < 0 || tenant >= len(b.usage) {
-		return false
-	}
-	return b.usage[tenant] > 1.1*b.set.Tenants[tenant].Portion
-}
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -661,14 +661,14 @@
 	set := testSettings()
 	set.Objective = Objective{Whole: 0.5, WorstClass: 0.5}
 	r := newRig(t, set, 2)
-	once, free := &request{class: 1, aimAt: r.now + 500}, &request{class: 0, aimAt: r.now + 500}
+	once, free := &request{class: r.b.classes[1], aimAt: r.now + 500}, &request{class: r.b.classes[0], aimAt: r.now + 500}
 	for range 500 { // of class 1 all are served, of class 0 none
-		r.b.tally(0)
-		r.b.tally(1)
-		r.b.won[1] += 1 - fade
+		r.b.tally(free.class)
+		r.b.tally(once.class)
+		r.b.classes[1].won += 1 - fade
 	}
 	with := r.b.value(free) / r.b.value(once)
-	r.b.worst = 1
+	r.b.worst = r.b.classes[1]
 	if without := r.b.value(free) / r.b.value(once); with <= without {
 		t.Errorf("the starved class weighs %.2f, when served well %.2f", with, without)
 	}
--- a/policy/property_test.go
+++ b/policy/property_test.go
@@ -22,6 +22,7 @@
 	list     map[Addr]Entry
 	badSince map[Addr]float64 // told that it drains or is gone
 	history  []Action
+	past     []Rules // that were in force
 }
 
 type worldTry struct {
@@ -33,7 +34,7 @@
 }
 
 type worldReq struct {
-	class    int
+	rules    Rules // as they were when it came
 	deadline float64
 	tries    []*worldTry
 	final    int
@@ -59,10 +60,6 @@
 	if rng.IntN(2) == 0 {
 		s.Membership = "on_request"
 	}
-	if rng.IntN(2) == 0 {
-		s.Tenants = []Tenant{{Name: "a", Portion: 0.7}, {Name: "b", Portion: 0.3}}
-		s.OverShareWorth = 0.1
-	}
 	s.Clients.MarksRetry = rng.IntN(2) == 0
 	return s
 }
@@ -87,7 +84,7 @@
 			if w.now > r.deadline+w.set.Contract.AnswerSlackMs {
 				w.t.Fatalf("request %d answered %.1f ms after its deadline", a.Request, w.now-r.deadline)
 			}
-			c := w.set.Classes[r.class]
+			c := r.rules
 			if a.Kind == ActRefuse && r.mayHaveRun() && (c.Effect == SingleShot || c.Effect == Guarded && c.Group != GroupAll) {
 				w.t.Fatalf("request %d of effect %s refused though it may have run", a.Request, c.Effect)
 			}
@@ -113,12 +110,12 @@
 }
 
 func (w *world) checkSend(r *worldReq, a *Action) {
-	c := w.set.Classes[r.class]
+	c := r.rules
 	if r.final > 0 || w.now > r.deadline {
 		w.t.Fatalf("request %d sent after its end", a.Request)
 	}
-	if len(r.tries) >= w.set.Limits.MaxAttempts {
-		w.t.Fatalf("request %d: attempt %d of at most %d", a.Request, len(r.tries)+1, w.set.Limits.MaxAttempts)
+	if len(r.tries) >= c.MaxAttempts {
+		w.t.Fatalf("request %d: attempt %d of at most %d", a.Request, len(r.tries)+1, c.MaxAttempts)
 	}
 	if since, bad := w.badSince[a.Server]; bad && w.now-since > w.set.Contract.DrainGraceMs {
 		w.t.Fatalf("sent to %v %.0f ms after it was told to drain", a.Server, w.now-since)
@@ -176,7 +173,7 @@
 				LatencyMs: w.now - t.sentAt, Final: r.final > 0})
 		}
 		if r.final == 0 && w.now > r.deadline+w.set.Contract.AnswerSlackMs {
-			w.t.Fatalf("request %d of class %d lost: no answer %.0f ms after its deadline", id, r.class, w.now-r.deadline)
+			w.t.Fatalf("request %d of class %s lost: no answer %.0f ms after its deadline", id, r.rules.Name, w.now-r.deadline)
 		}
 		if r.final > 0 && !open && len(r.tries) > 0 && w.now > r.deadline+100 {
 			delete(w.reqs, id)
@@ -184,6 +181,31 @@
 	}
 }
 
+// retune drops, adds and changes classes and attempts; what nobody can use changes nothing.
+func (w *world) retune() {
+	for _, c := range w.set.Classes {
+		w.past = append(w.past, Rules{c, w.set.Limits.MaxAttempts})
+	}
+	old, set := w.set, randomSettings(w.rng)
+	set.Membership, set.Limits.ParallelTries, set.Limits.Cancelling, set.Limits.Probing = old.Membership,
+		old.Limits.ParallelTries, old.Limits.Cancelling, old.Limits.Probing
+	set.Classes = set.Classes[w.rng.IntN(len(set.Classes)):]
+	c := &set.Classes[0]
+	c.Effect, c.Group, c.KeyTTLMs = []Effect{Free, SingleShot, Guarded}[w.rng.IntN(3)], GroupCell, 300
+	if w.rng.IntN(3) == 0 {
+		set.Classes = append(set.Classes, Class{Name: "new", AimMs: 200, GiveUpMs: 800, Effect: SingleShot})
+	}
+	bad := set
+	bad.Limits.MaxAttempts = 0
+	if w.b.Retune(bad) == nil {
+		w.t.Fatal("settings without attempts are taken over")
+	}
+	if err := w.b.Retune(set); err != nil {
+		w.t.Fatal(err)
+	}
+	w.set = set
+}
+
 func (w *world) changeList() {
 	s := addr(w.rng.IntN(8))
 	e := Entry{Server: s, Zone: int(s[3]) % 2, Cell: int(s[3]) % 3, Weight: 1 + w.rng.Float64(),
@@ -218,9 +240,15 @@
 			w.next++
 			left := 20 + 800*rng.Float64()
 			class := rng.IntN(len(w.set.Classes))
-			w.reqs[w.next] = &worldReq{class: class, deadline: w.now + left}
-			w.handle(Event{Kind: EvRequest, Request: w.next, Class: class, Tenant: rng.IntN(2), Key: uint64(rng.IntN(30)),
-				LeftMs: left, Retry: rng.IntN(5) == 0})
+			rules := Rules{w.set.Classes[class], w.set.Limits.MaxAttempts}
+			ev := Event{Kind: EvRequest, Request: w.next, Class: class, Key: uint64(rng.IntN(30)),
+				LeftMs: left, Retry: rng.IntN(5) == 0}
+			if len(w.past) > 0 && rng.IntN(3) == 0 { // it was on its way when the settings changed
+				rules = w.past[rng.IntN(len(w.past))]
+				ev.Rules = &rules
+			}
+			w.reqs[w.next] = &worldReq{rules: rules, deadline: w.now + left}
+			w.handle(ev)
 		}
 		switch rng.IntN(40) {
 		case 0:
@@ -235,6 +263,8 @@
 			w.handle(Event{Kind: EvDropped, Request: 1 << 30})
 			w.handle(Event{Kind: EvTimer, Token: 99})
 			w.handle(Event{Kind: EvList, List: ListFailed})
+		case 3:
+			w.retune()
 		}
 	}
 	if n := len(w.b.requests); n != 0 || len(w.b.held) != 0 || w.b.inflight != 0 {
--- a/policy/settings.go
+++ b/policy/settings.go
@@ -1,6 +1,9 @@
 package policy
 
-import "fmt"
+import (
+	"fmt"
+	"slices"
+)
 
 // validate reports the first setting that makes no sense, by its key.
 func (s *Settings) validate() error {
@@ -10,6 +13,8 @@
 	for i, c := range s.Classes {
 		at := func(key string) string { return fmt.Sprintf("settings: classes[%d].%s", i, key) }
 		switch {
+		case c.Name == "" || slices.ContainsFunc(s.Classes[:i], func(o Class) bool { return o.Name == c.Name }):
+			return fmt.Errorf("%s: must be there and be another for each class, is %q", at("name"), c.Name)
 		case !(c.AimMs > 0):
 			return fmt.Errorf("%s: must be above 0, is %v", at("aimMs"), c.AimMs)
 		case !(c.GiveUpMs > 0):
@@ -20,10 +25,13 @@
 			return fmt.Errorf("%s: unknown effect %q", at("effect"), c.Effect)
 		case c.Effect == Guarded && c.Group != GroupAll && c.Group != GroupZone && c.Group != GroupCell:
 			return fmt.Errorf("%s: unknown group %q", at("group"), c.Group)
-		case c.Effect == Guarded && !(c.KeyTTLMs >= 0):
-			return fmt.Errorf("%s: must not be negative, is %v", at("keyTtlMs"), c.KeyTTLMs)
+		case c.Effect == Guarded && !(c.KeyTTLMs > 0):
+			return fmt.Errorf("%s: must be above 0, is %v", at("keyTtlMs"), c.KeyTTLMs)
 		}
 	}
+	if s.Limits.MaxAttempts < 1 {
+		return fmt.Errorf("settings: limits.maxAttempts: must be above 0, is %d", s.Limits.MaxAttempts)
+	}
 	if s.Membership != "pushed" && s.Membership != "on_request" {
 		return fmt.Errorf("settings: membershipMode: unknown mode %q", s.Membership)
 	}
@@ -38,7 +46,6 @@
 		{"contract.drainGraceMs", s.Contract.DrainGraceMs},
 		{"contract.fallMultiple", s.Contract.FallMultiple},
 		{"contract.tipAfterMs", s.Contract.TipAfterMs},
-		{"limits.maxAttempts", float64(s.Limits.MaxAttempts)},
 		{"limits.maxRetryAfterMs", s.Limits.MaxRetryAfterMs},
 		{"replicasOfMe", float64(s.Replicas)},
 		{"roundMs", s.RoundMs},
--- a/policy/state.go
+++ b/policy/state.go
@@ -40,6 +40,15 @@
 	score     float64 // place in a request's order; lower is nearer
 }
 
+// class is what is known of one class of requests. Those that came under other rules than
+// are in force now have one of their own.
+type class struct {
+	Class
+	expect float64 // mean answer time
+	asked  float64 // its share of requests
+	won    float64 // and of those served in time
+}
+
 // attempt is one send of a request.
 type attempt struct {
 	r      *request
@@ -53,8 +62,8 @@
 // request is one try of a client, kept until it is answered and no attempt is out.
 type request struct {
 	id         RequestID
-	class      int
-	tenant     int
+	class      *class
+	most       int // attempts that it may have
 	key        uint64
 	spot       uint64  // the key, or one of its parts
 	first      float64 // when the client's first try came, as far as known
@@ -76,9 +85,10 @@
 
 // past is what is remembered of an unserved request, to know its retry.
 type past struct {
-	class int
+	class string
 	key   uint64
 	first float64
+	until float64 // the client has given up by then
 }
 
 // Balancer makes the decisions of one agent. It is not safe for concurrent use.
@@ -111,16 +121,13 @@
 	gained    float64
 	again     float64 // further attempts that may be made
 	probes    int
-	mayProbe  float64   // probes that may be sent
-	expect    []float64 // per class: mean answer time
-	answers   float64   // served so far
-	fleetLat  float64   // mean answer time as a part of the aim, all servers
-	calmLat   float64   // the same when nothing is crowded
-	usage     []float64 // tenants' shares of requests
-	asked     []float64 // classes' shares of requests
-	won       []float64 // and of those served in time
-	worst     int       // the class served worst
-	credit    float64   // mean worth of a request
+	mayProbe  float64 // probes that may be sent
+	classes   []*class
+	answers   float64 // served so far
+	fleetLat  float64 // mean answer time as a part of the aim, all servers
+	calmLat   float64 // the same when nothing is crowded
+	worst     *class  // the class served worst
+	credit    float64 // mean worth of a request
 	aimMin    float64
 	lookedAt  float64 // last fetch of the list
 	follows   int     // failed calls in a row
@@ -131,28 +138,32 @@
 	scarce    bool // requests that would take any server find no room
 }
 
-// tally keeps the classes' shares of requests and of those served in time.
-func (b *Balancer) tally(class int) {
-	b.credit = 0
-	for i, c := range b.set.Classes {
-		b.asked[i] *= fade
-		b.won[i] *= fade
-		if i == class {
-			b.asked[i] += 1 - fade
+// classOf is the class with these rules. Where the rules have changed what was learned of
+// the class is taken along.
+func (b *Balancer) classOf(rules Class) *class {
+	k := &class{Class: rules, expect: rules.AimMs * crowdShare / 2, asked: 1, won: 1}
+	for _, c := range b.classes {
+		if c.Class == rules {
+			return c
+		}
+		if c.Name == rules.Name {
+			k.expect, k.asked, k.won = c.expect, c.asked, c.won
 		}
-		b.credit += b.asked[i] * c.Credit
 	}
+	return k
 }
 
-// count keeps the tenants' shares of this agent's requests.
-func (b *Balancer) count(tenant int) {
-	if tenant < 0 || tenant >= len(b.usage) {
-		return
-	}
-	for i := range b.usage {
-		b.usage[i] *= fade
+// tally keeps the classes' shares of requests and of those served in time.
+func (b *Balancer) tally(of *class) {
+	b.credit = 0
+	for _, c := range b.classes {
+		c.asked *= fade
+		c.won *= fade
+		if c == of {
+			c.asked += 1 - fade
+		}
+		b.credit += c.asked * c.Credit
 	}
-	b.usage[tenant] += 1 - fade
 }
 
 // countKey counts a request of the key; counts are halved when there are too many.
@@ -176,15 +187,15 @@
 		return
 	}
 	b.pasts = slices.DeleteFunc(b.pasts, func(p past) bool {
-		return b.now-p.first > b.set.Classes[p.class].GiveUpMs
+		return b.now > p.until
 	})
 	if len(b.pasts) < maxHeld {
-		b.pasts = append(b.pasts, past{r.class, r.key, r.first})
+		b.pasts = append(b.pasts, past{r.class.Name, r.key, r.first, r.first + r.class.GiveUpMs})
 	}
 }
 
 func (b *Balancer) recall(r *request) float64 {
-	i := slices.IndexFunc(b.pasts, func(p past) bool { return p.class == r.class && p.key == r.key })
+	i := slices.IndexFunc(b.pasts, func(p past) bool { return p.class == r.class.Name && p.key == r.key })
 	if i < 0 {
 		return r.arrived
 	}
@@ -226,11 +237,11 @@
 
 // partOfAim is an answer time as a part of the aim.
 func (b *Balancer) partOfAim(r *request, rtt float64) float64 {
-	return min(rtt/b.set.Classes[r.class].AimMs, 2)
+	return min(rtt/r.class.AimMs, 2)
 }
 
 // expected is how long an answer to the request takes, on the mean.
-func (b *Balancer) expected(r *request) float64 { return b.expect[r.class] }
+func (b *Balancer) expected(r *request) float64 { return r.class.expect }
 
 // enter notes a server's new state and its time; tiers have changed.
 func (b *Balancer) enter(s *server, to State) {
--- a/policy/types.go
+++ b/policy/types.go
@@ -59,11 +59,11 @@
 	Streamed  bool    `json:"streamed"`
 }
 
-// Tenant is a customer with a share of what the servers can do.
-type Tenant struct {
-	Name      string  `json:"name"`
-	QuotaPerS float64 `json:"quotaPerS"`
-	Portion   float64 `json:"portion"`
+// Rules are what a request is held to from its start to its end, whatever is put in force
+// meanwhile.
+type Rules struct {
+	Class
+	MaxAttempts int
 }
 
 // Limits is what a deployment permits an agent.
@@ -106,13 +106,11 @@
 	Whole       float64 `json:"whole"`
 	WorstWindow float64 `json:"worstWindow"`
 	WorstClass  float64 `json:"worstClass"`
-	WorstTenant float64 `json:"worstTenant"`
 }
 
 // Settings is what an agent is told at its start.
 type Settings struct {
 	Classes    []Class   `json:"classes"`
-	Tenants    []Tenant  `json:"tenants"`
 	Limits     Limits    `json:"limits"`
 	Contract   Contract  `json:"contract"`
 	Prices     Prices    `json:"prices"`
@@ -124,13 +122,12 @@
 	FamilyInfo struct {
 		WarmKeys bool `json:"warmKeys"`
 	} `json:"familyInfo"`
-	Index          int     `json:"index"`
-	Replicas       int     `json:"replicasOfMe"`
-	OverShareWorth float64 `json:"overShareWorth"`
-	RoundMs        float64 `json:"roundMs"`
-	Weights        string  `json:"weights"` // "off", "nominal", "rough" or "live"
-	WorthBy        string  `json:"worthBy"` // "request" or "work"
-	Zone           int     `json:"zone"`
+	Index    int     `json:"index"`
+	Replicas int     `json:"replicasOfMe"`
+	RoundMs  float64 `json:"roundMs"`
+	Weights  string  `json:"weights"` // "off", "nominal", "rough" or "live"
+	WorthBy  string  `json:"worthBy"` // "request" or "work"
+	Zone     int     `json:"zone"`
 }
 
 // Health is what the list says of a server.
@@ -189,7 +186,7 @@
 
 // The events.
 const (
-	EvRequest EventKind = iota + 1 // Request, Class, Tenant, Key, LeftMs, Retry
+	EvRequest EventKind = iota + 1 // Request, Rules or Class, Key, LeftMs, Retry
 	EvOutcome                      // Request, Attempt, Server, Status, LatencyMs, Final
 	EvStarted                      // Request, Attempt, Server, LatencyMs: a streamed answer began
 	EvDropped                      // Request: the client left
@@ -203,8 +200,8 @@
 type Event struct {
 	Kind      EventKind
 	Request   RequestID
-	Class     int
-	Tenant    int
+	Class     int    // its place in the settings in force
+	Rules     *Rules // nil: those of Class
 	Key       uint64 // 0: none
 	LeftMs    float64
 	Retry     bool
