Stream long bodies both ways, with one budget for what is kept

Ruled out: the module, whose servers were all Connected, and descriptors (204 of 1,024). At fault: front.read and readAnswer, which held a message whole or not at all; ReadTimeout, which ended bodies that come slowly; and an answer without a length, taken for a broken one. Also seen: a read deadline or error on a client's body makes net/http take the client for gone, so an early answer must not end that read; the writer is left to end by itself.

The module counts a long request as work of its server from its last byte on (EvWritten).

Its test in body_test.go fails without the change (413, 502).

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -23,11 +23,11 @@
 // request that was held has been answered. Each configuration that comes on reloads
 // replaces the settings and the address of discovery; the rest takes effect at a start only.
 func Run(stop context.Context, cfg *Config, ln Listeners, reloads <-chan *Config) error {
-	return run(stop, cfg, ln, reloads, func(*loop) {})
+	return run(stop, cfg, ln, reloads, func(*front, *loop) {})
 }
 
-// run is Run, which also hands out the loop before it starts.
-func run(stop context.Context, cfg *Config, ln Listeners, reloads <-chan *Config, made func(*loop)) error {
+// run is Run, which also hands out the parts before they start.
+func run(stop context.Context, cfg *Config, ln Listeners, reloads <-chan *Config, made func(*front, *loop)) error {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel() // only after the front: requests held need the loop to the end
 	f := newFront(cfg)
@@ -37,7 +37,7 @@
 		return fmt.Errorf("agent: %w", err)
 	}
 	f.loop = l
-	made(l)
+	made(f, l)
 	ended := make(chan struct{})
 	go func() {
 		defer close(ended)
--- a/internal/agent/backend.go
+++ b/internal/agent/backend.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -21,8 +22,8 @@
 	"clayproxy.example/clayproxy/policy"
 )
 
-// maxBody is the largest body of a message, maxHead the largest head of an answer.
-const maxBody, maxHead = 64 << 10, 16 << 10
+// maxHead is the largest head of an answer.
+const maxHead = 16 << 10
 
 // backend is one listed server. Its fields belong to the loop, but for closed.
 type backend struct {
@@ -41,7 +42,8 @@
 	cut       bool   // the connection broke before any answer
 	latencyMs float64
 	header    http.Header
-	body      []byte
+	body      *payload
+	client    error // what the client broke off in the middle of its body
 }
 
 // pool makes attempts and keeps idle connections. http.Transport is not used on
@@ -49,7 +51,8 @@
 // tell whether the last byte was written, on which hangs whether an attempt may
 // have run.
 type pool struct {
-	max int
+	max    int
+	budget budget
 
 	mu             sync.Mutex
 	connectTimeout time.Duration
@@ -80,7 +83,7 @@
 var errTooMany = errors.New("no descriptor left for a connection")
 
 func newPool(c *Config) *pool {
-	p := &pool{max: c.backendConns(), idle: map[string][]*conn{}}
+	p := &pool{max: c.backendConns(), budget: newBudget(c), idle: map[string][]*conn{}}
 	p.retune(c)
 	return p
 }
@@ -100,10 +103,28 @@
 	}
 }
 
+// message is what goes to a backend.
+type message struct {
+	// request is made for the time that is left.
+	request func(left time.Duration) *http.Request
+	// long is the part of its body that is not kept; nil: there is none.
+	long *longBody
+	// within is the time that the answer to a long one has from its last byte on.
+	within time.Duration
+	// written is told when the last byte of a long one is written.
+	written func()
+}
+
 // do makes one attempt and returns how it ended, exactly once. It never sends
 // anything twice. Cancelling ctx withdraws the attempt and closes its connection.
-func (p *pool) do(ctx context.Context, b *backend, addr string, c *call, sent, deadline time.Time) result {
-	r := p.exchange(ctx, b, addr, c.method, c.wire, deadline)
+func (p *pool) do(ctx context.Context, b *backend, addr string, m *message, sent, deadline time.Time) result {
+	if written := m.written; m.long != nil {
+		m.written = func() {
+			sent = time.Now()
+			written()
+		}
+	}
+	r := p.exchange(ctx, b, addr, m, deadline)
 	// A withdrawn attempt says nothing of its backend, also where the withdrawal cut
 	// off a connect; an answer that was already there stands.
 	if ctx.Err() != nil && r.status != policy.OK && r.status != policy.Full {
@@ -117,21 +138,21 @@
 // It is given up after twice the time that a connect may take: a backend that lets a
 // cheap answer wait for so long is not validated.
 func (p *pool) probe(ctx context.Context, b *backend, addr, host string) result {
-	wire := func(time.Duration) ([]byte, error) {
-		return []byte("GET /-/healthy HTTP/1.1\r\nHost: " + host + "\r\n\r\n"), nil
-	}
+	m := &message{request: func(time.Duration) *http.Request {
+		return &http.Request{Method: http.MethodGet, URL: &url.URL{Path: "/-/healthy"}, Host: host,
+			Header: http.Header{"User-Agent": {""}}}
+	}}
 	sent := time.Now()
-	r := p.exchange(ctx, b, addr, http.MethodGet, wire, sent.Add(2*p.patience()))
+	r := p.exchange(ctx, b, addr, m, sent.Add(2*p.patience()))
+	r.body.end() // only its status counts
 	r.latencyMs = float64(time.Since(sent).Microseconds()) / 1000
 	return r
 }
 
-// exchange writes one message, made by wire for the time that is left, and reads its
-// answer. A kept connection that turns out broken before the last byte is written has
-// brought nothing to the backend and says nothing of it: the message goes out on the
-// next one, and on a new one at the last.
-func (p *pool) exchange(ctx context.Context, b *backend, addr, method string,
-	wire func(left time.Duration) ([]byte, error), deadline time.Time) result {
+// exchange writes one message and reads its answer. A kept connection that turns out
+// broken before the last byte is written has brought nothing to the backend and says
+// nothing of it: the message goes out on the next one, and on a new one at the last.
+func (p *pool) exchange(ctx context.Context, b *backend, addr string, m *message, deadline time.Time) result {
 	for {
 		cn, err := p.get(ctx, addr, deadline)
 		switch {
@@ -143,11 +164,11 @@
 			return result{status: policy.ConnectFailed, why: err.Error()}
 		}
 		kept := cn.uses > 0
-		r, unsent := p.over(ctx, cn, b, method, wire, deadline)
+		r, unsent := p.over(ctx, cn, b, m, deadline)
 		if kept {
 			p.note(cn.idled, unsent || r.cut)
 		}
-		if !unsent || !kept || ctx.Err() != nil || !time.Now().Before(deadline) {
+		if !unsent || !kept || ctx.Err() != nil || !time.Now().Before(deadline) || m.long.spent() {
 			return r
 		}
 	}
@@ -155,17 +176,24 @@
 
 // over makes the exchange on one connection; unsent tells that the connection broke
 // before the last byte was written.
-func (p *pool) over(ctx context.Context, cn *conn, b *backend, method string,
-	wire func(left time.Duration) ([]byte, error), deadline time.Time) (r result, unsent bool) {
+func (p *pool) over(ctx context.Context, cn *conn, b *backend, m *message, deadline time.Time) (r result, unsent bool) {
 	reusable := false
 	// Withdrawing makes whatever reads or writes end at once.
 	stop := context.AfterFunc(ctx, func() { cn.SetDeadline(time.Unix(1, 0)) })
 	cn.uses++
 	defer func() {
-		// If the withdrawal has begun its deadline would hit the next user.
-		if stop() && reusable {
+		withdrawn := !stop()
+		switch {
+		case r.body != nil && r.body.rest != nil && !withdrawn:
+			// The connection is the stream's until that ends.
+			r.body.rest.pace(true)
+		case r.body != nil && r.body.rest != nil:
+			r.body.end()
+			r = result{status: policy.Cancelled}
+		case reusable && !withdrawn:
 			p.put(cn, b)
-		} else {
+		default:
+			// If the withdrawal has begun its deadline would hit the next user.
 			p.close(cn)
 		}
 	}()
@@ -173,44 +201,156 @@
 	if ctx.Err() != nil {
 		return result{status: policy.ConnectFailed}, false
 	}
-	out, err := wire(time.Until(deadline))
-	if err != nil {
-		return result{status: policy.ConnectFailed, why: err.Error()}, false
-	}
+	req := m.request(time.Until(deadline))
 	// The connect may have taken long: the drain grace runs from the telling, so
 	// nothing is begun on a backend that was told to drain meanwhile.
 	if b.closed.Load() {
 		reusable = true
 		return result{status: policy.ConnectFailed, why: "drains or gone"}, false
 	}
-	if n, err := cn.Write(out); err != nil {
-		if n < len(out) {
+	if m.long != nil {
+		return p.long(ctx, cn, b, m, req, &reusable)
+	}
+	var out bytes.Buffer
+	if err := req.Write(&out); err != nil {
+		return result{status: policy.ConnectFailed, why: err.Error()}, false
+	}
+	if n, err := cn.Write(out.Bytes()); err != nil {
+		if n < out.Len() {
 			// The last byte never left, and the connection is closed: it cannot run.
 			return result{status: policy.ConnectFailed, why: cn.story(err)}, true
 		}
 		return result{status: broken(err), why: cn.story(err)}, false
 	}
-	r, reusable = p.read(cn, method)
+	resp, err := readHead(cn.br, req.Method)
+	r, reusable = p.read(cn, b, resp, err)
 	return r, false
 }
 
-// read reads the answer, and tells whether the connection may carry another message.
-func (p *pool) read(cn *conn, method string) (r result, reusable bool) {
-	resp, body, err := readAnswer(cn.br, method)
+// long makes the exchange of a long message: it is written as it comes from the client, and
+// an answer that is there before its end ends it.
+func (p *pool) long(ctx context.Context, cn *conn, b *backend, m *message, req *http.Request, reusable *bool) (r result, unsent bool) {
+	type head struct {
+		resp *http.Response
+		err  error
+	}
+	// Until all is written the backend has no time to keep, but for each piece.
+	cn.SetReadDeadline(time.Time{})
+	heads, written := make(chan head, 1), make(chan error, 1)
+	go func() {
+		resp, err := readHead(cn.br, req.Method)
+		heads <- head{resp, err}
+	}()
+	go func() {
+		w := bufio.NewWriterSize(serverWriter{ctx, cn}, pieceSize)
+		err := req.Write(w)
+		if err == nil {
+			err = w.Flush()
+		}
+		written <- err
+	}()
+	var h head
+	var err error
+	select {
+	case err = <-written:
+		switch client := m.long.broken(); {
+		case err == nil:
+			m.written()
+			cn.SetReadDeadline(time.Now().Add(m.within))
+		case client != nil:
+			cn.SetReadDeadline(time.Unix(1, 0))
+			<-heads
+			return result{status: policy.Cancelled, why: "client: " + client.Error(), client: client}, false
+		default: // an answer may be there, or on its way behind what was not read
+			cn.SetReadDeadline(time.Now().Add(earlyAnswer))
+		}
+		if ctx.Err() != nil { // the deadlines just set may have undone the withdrawal's
+			cn.SetReadDeadline(time.Unix(1, 0))
+		}
+		h = <-heads
+	case h = <-heads:
+		err = errEarly
+		select {
+		case err = <-written: // only the news of it was later
+		case <-time.After(earlyAnswer):
+		}
+		if err == nil {
+			m.written()
+		} else {
+			// Who writes may yet wait for the client. What that brings is gone.
+			m.long.taken.Store(true)
+			cn.SetWriteDeadline(time.Unix(1, 0))
+		}
+	}
+	if err != nil && h.resp == nil {
+		// The last byte never left, and the connection is closed: it cannot run.
+		return result{status: policy.ConnectFailed, why: cn.story(cmp.Or(h.err, err))}, true
+	}
+	if r, *reusable = p.read(cn, b, h.resp, h.err); err != nil && r.body != nil {
+		r.body.end()
+		return result{status: policy.Error, why: err.Error()}, false
+	}
+	*reusable = *reusable && err == nil
+	return r, false
+}
+
+// earlyAnswer is how long the answer of a backend is waited for that takes no more of a
+// long request, and the news that all is written once its answer is there.
+const earlyAnswer = 50 * time.Millisecond
+
+var errEarly = errors.New("answered before the end of the request")
+
+// read reads the answer behind its head, and tells whether the connection may carry another
+// message. An answer that is long or takes long comes back with its rest as a stream.
+func (p *pool) read(cn *conn, b *backend, resp *http.Response, err error) (r result, reusable bool) {
 	if resp == nil {
 		s := broken(err)
 		return result{status: s, why: cn.story(err), cut: s == policy.Reset}, false
 	}
-	if err != nil {
-		r.status, r.why = broken(err), cn.story(err)
-		return r, false
-	}
-	if r.status = outcome(resp); r.status == policy.OK {
-		r.header, r.body = resp.Header, body
-	} else {
+	if r.status = outcome(resp); r.status != policy.OK {
 		r.why = resp.Status
+		// What it says is no one's, but it has to have come whole.
+		n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxBody))
+		if err != nil {
+			r.status, r.why = broken(err), cn.story(err)
+		}
+		return r, err == nil && n < maxBody && !resp.Close && cn.br.Buffered() == 0
+	}
+	r.header = resp.Header
+	body := &payload{length: resp.ContentLength, budget: p.budget}
+	if resp.ContentLength >= 0 && resp.ContentLength <= maxBody && p.budget.TryAcquire(resp.ContentLength) {
+		body.held, body.kept = resp.ContentLength, make([]byte, resp.ContentLength)
+		if _, err := io.ReadFull(resp.Body, body.kept); err != nil {
+			body.end()
+			return result{status: broken(err), why: cn.story(err)}, false
+		}
+		r.body = body
+		return r, !resp.Close && cn.br.Buffered() == 0
+	}
+	body.rest = newStream(cn, resp.Body)
+	body.rest.close = func(whole bool) {
+		if whole && !resp.Close && cn.br.Buffered() == 0 {
+			p.put(cn, b)
+		} else {
+			p.close(cn)
+		}
+	}
+	r.body = body
+	if resp.ContentLength < 0 && p.budget.TryAcquire(maxBody) {
+		body.held = maxBody
+		var whole bool
+		if body.kept, whole, err = body.rest.ahead(maxBody, gatherTime); err != nil {
+			body.rest.leave()
+			body.rest = nil
+			body.end()
+			return result{status: broken(err), why: cn.story(err)}, false
+		}
+		if whole {
+			body.length, body.rest = int64(len(body.kept)), nil
+			return r, !resp.Close && cn.br.Buffered() == 0
+		}
 	}
-	return r, !resp.Close && cn.br.Buffered() == 0
+	return r, false
 }
 
 // broken maps what ended an attempt whose last byte was written: it may have run.
@@ -241,32 +381,21 @@
 	return policy.Error
 }
 
-// readAnswer reads one final answer and its whole body; a nil response means
-// that no head could be read.
-func readAnswer(br *bufio.Reader, method string) (*http.Response, []byte, error) {
+// readHead reads the head of one final answer, passing over interim ones.
+func readHead(br *bufio.Reader, method string) (*http.Response, error) {
 	for range 8 { // interim answers that may come ahead
 		if err := checkHead(br); err != nil {
-			return nil, nil, err
+			return nil, err
 		}
 		resp, err := http.ReadResponse(br, &http.Request{Method: method})
 		if err != nil {
-			return nil, nil, err
-		}
-		if resp.StatusCode < 200 && resp.StatusCode != http.StatusSwitchingProtocols {
-			continue
+			return nil, err
 		}
-		if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
-			// It would end where the connection does, and nothing could tell a whole
-			// answer from one that was cut off.
-			return resp, nil, io.ErrUnexpectedEOF
+		if resp.StatusCode >= 200 || resp.StatusCode == http.StatusSwitchingProtocols {
+			return resp, nil
 		}
-		body, err := io.ReadAll(io.LimitReader(resp.Body, maxBody+1))
-		if err == nil && len(body) > maxBody {
-			err = errors.New("answer too large")
-		}
-		return resp, body, err
 	}
-	return nil, nil, errors.New("too many interim answers")
+	return nil, errors.New("too many interim answers")
 }
 
 // checkHead waits for a whole head without taking it from br, whose size bounds it, and
@@ -482,8 +611,8 @@
 	return out
 }
 
-// wire is the request as it goes to a backend, told how long the agent waits.
-func (c *call) wire(left time.Duration) ([]byte, error) {
+// request is the request as it goes to a backend, told how long the agent waits.
+func (c *call) request(left time.Duration) *http.Request {
 	h := endToEnd(c.header)
 	for _, name := range identity {
 		if values := c.header.Values(name); len(values) > 0 {
@@ -496,14 +625,13 @@
 	}
 	req := &http.Request{Method: c.method, URL: &url.URL{Path: c.url.Path, RawPath: c.url.RawPath,
 		RawQuery: c.url.RawQuery, ForceQuery: c.url.ForceQuery}, Host: c.host, Header: h}
-	if len(c.body) > 0 {
+	switch {
+	case c.long != nil:
+		req.Body, req.ContentLength = io.NopCloser(io.MultiReader(bytes.NewReader(c.body), c.long)), c.long.length
+	case len(c.body) > 0:
 		req.Body, req.ContentLength = io.NopCloser(bytes.NewReader(c.body)), int64(len(c.body))
 	}
-	var out bytes.Buffer
-	if err := req.Write(&out); err != nil {
-		return nil, err
-	}
-	return out.Bytes(), nil
+	return req
 }
 
 func earliest(a, b time.Time) time.Time {
--- /dev/null
+++ b/internal/agent/body_test.go
@@ -0,0 +1,337 @@
+package agent
+
+import (
+	"bufio"
+	"bytes"
+	"crypto/sha256"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+)
+
+// noise is n bytes that are not alike.
+func noise(n int) []byte {
+	b := make([]byte, n)
+	for i := range b {
+		b[i] = byte(i * 31 >> (i % 5))
+	}
+	return b
+}
+
+// digest is what hashing backends answer.
+func digest(b []byte) string { return fmt.Sprintf("%d %x", len(b), sha256.Sum256(b)) }
+
+func hashing(c net.Conn, req *http.Request, _ int) bool {
+	body, _ := io.ReadAll(req.Body)
+	return send(c, 200, "", digest(body))
+}
+
+// slowly brings a body in pieces, with a call before each.
+type slowly struct {
+	body   []byte
+	piece  int
+	before func(at int)
+	at     int
+}
+
+func (s *slowly) Read(p []byte) (int, error) {
+	if s.at == len(s.body) {
+		return 0, io.EOF
+	}
+	s.before(s.at)
+	n := copy(p, s.body[s.at:min(s.at+s.piece, len(s.body))])
+	s.at += n
+	return n, nil
+}
+
+func TestLongBodyGoesThroughOnce(t *testing.T) {
+	a, b := one(t, hashing)
+	for i, length := range []int{maxBody - 1, maxBody, maxBody + 1, 5 << 20} {
+		for _, told := range []bool{true, false} {
+			body := noise(length)
+			req := newRequest(a.addr, "order", "")
+			req.Body, req.ContentLength = io.NopCloser(bytes.NewReader(body)), -1
+			if told {
+				req.ContentLength = int64(length)
+			}
+			if i == 3 {
+				req.Header.Set("Expect", "100-continue")
+			}
+			status, _, got := a.ask(req)
+			wantStatus(t, status, 200)
+			if got != digest(body) {
+				t.Errorf("length %d, told %v: arrived as %s", length, told, got)
+			}
+		}
+	}
+	if b.count() != 8 {
+		t.Errorf("%d arrivals, want 8", b.count())
+	}
+	if f := a.figures(); f.served != 8 || f.guarded+f.backstops > 0 {
+		t.Errorf("figures %+v", f)
+	}
+}
+
+// The time of a request counts from its last byte, and its server is not to blame for a
+// client that brings it slowly.
+func TestSlowLongBodyHasItsTime(t *testing.T) {
+	t.Parallel()
+	a, b := one(t, hashing)
+	body := noise(6 * maxBody)
+	req := newRequest(a.addr, "order", "")
+	req.Header.Set("Request-Timeout-Ms", "700")
+	req.ContentLength = int64(len(body))
+	req.Body = io.NopCloser(&slowly{body: body, piece: maxBody / 2, before: func(at int) {
+		if at > 0 {
+			time.Sleep(100 * time.Millisecond)
+		}
+	}})
+	status, _, got := a.ask(req)
+	wantStatus(t, status, 200)
+	if got != digest(body) || b.count() != 1 {
+		t.Errorf("arrived as %s, %d times", got, b.count())
+	}
+	if f := a.figures(); f.ends[100] != 1 || f.guarded+f.backstops > 0 {
+		t.Errorf("figures %+v", f)
+	}
+}
+
+// A server that takes no more of a long body ends the attempt with its answer. What is
+// gone is not sent again, and what never ran is refused.
+func TestLongBodyTurnedAwayHalfway(t *testing.T) {
+	b := newBackend(t, nil)
+	b.ln.Close()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	heads := make(chan struct{}, 10)
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				br := bufio.NewReader(c)
+				if _, err := http.ReadRequest(br); err != nil {
+					return
+				}
+				heads <- struct{}{}
+				io.CopyN(io.Discard, br, 2*maxBody)
+				send(c, 503, "Not-Started: 1\r\n", "")
+				io.Copy(io.Discard, br)
+			}()
+		}
+	}()
+	a := startAgent(t, newDiscoveryServer(t, target("s-1", ln.Addr().String())), nil)
+	// A client that brings the rest only once it has its answer.
+	c := a.dial()
+	body := noise(20 * maxBody)
+	fmt.Fprintf(c, "POST /api/a HTTP/1.1\r\nHost: x\r\nRequest-Id: 1\r\nRequest-Class: order\r\n"+
+		"Request-Timeout-Ms: 4000\r\nContent-Length: %d\r\n\r\n", len(body))
+	c.Write(body[:3*maxBody])
+	resp, err := http.ReadResponse(c.br, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if resp.StatusCode != 503 || resp.Header.Get("Retry-After") == "" || !resp.Close {
+		t.Errorf("answered %d, %v", resp.StatusCode, resp.Header)
+	}
+	if len(heads) != 1 {
+		t.Errorf("%d attempts, want 1", len(heads))
+	}
+	if f := a.figures(); f.ends[302] != 1 || f.guarded > 0 {
+		t.Errorf("figures %+v", f)
+	}
+}
+
+// A client that breaks off its body leaves nothing at a server that counts as a request.
+func TestLongBodyBrokenOff(t *testing.T) {
+	a, b := one(t, hashing)
+	lines := a.logged(t)
+	c := a.dial()
+	fmt.Fprintf(c, "POST /api/a HTTP/1.1\r\nHost: x\r\nRequest-Id: 1\r\nRequest-Class: order\r\n"+
+		"Request-Timeout-Ms: 4000\r\nContent-Length: %d\r\n\r\n", 20*maxBody)
+	c.Write(noise(3 * maxBody))
+	c.Close()
+	waitLine(t, lines, "client left")
+	<-b.ended
+	if b.count() != 0 {
+		t.Errorf("%d arrivals, want none", b.count())
+	}
+	status, _, _ := a.ask(newRequest(a.addr, "order", "x"))
+	wantStatus(t, status, 200)
+	if f := a.figures(); f.ends[306] != 1 || f.guarded+f.backstops > 0 {
+		t.Errorf("figures %+v", f)
+	}
+}
+
+// The first bytes of a long answer, and of one that takes long, are passed on while the
+// rest is yet to come.
+func TestLongAnswerIsPassedOnAsItComes(t *testing.T) {
+	more := make(chan struct{})
+	long := noise(3 * maxBody)
+	a, b := one(t, func(c net.Conn, req *http.Request, _ int) bool {
+		switch req.URL.RawQuery {
+		case "told":
+			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n", len(long))
+			c.Write(long[:100])
+			<-more
+			c.Write(long[100:])
+		case "chunks":
+			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nTrailer: X-End\r\n\r\n64;a=b\r\n%s\r\n", long[:100])
+			<-more
+			fmt.Fprintf(c, "%x\r\n%s\r\n0\r\nX-End: 1\r\n\r\n", len(long)-100, long[100:])
+		case "close":
+			fmt.Fprint(c, "HTTP/1.1 200 OK\r\n\r\n")
+			c.Write(long[:100])
+			<-more
+			c.Write(long[100:])
+			return false
+		}
+		return true
+	})
+	for _, form := range []string{"told", "chunks", "close"} {
+		req := newRequest(a.addr, "order", "x")
+		req.URL.RawQuery = form
+		resp, err := testClient.Do(req)
+		if err != nil {
+			t.Fatal(err)
+		}
+		first := make([]byte, 100)
+		if _, err := io.ReadFull(resp.Body, first); err != nil {
+			t.Fatalf("%s: %v", form, err)
+		}
+		more <- struct{}{}
+		rest, err := io.ReadAll(resp.Body)
+		resp.Body.Close()
+		if err != nil || resp.StatusCode != 200 || !bytes.Equal(append(first, rest...), long) {
+			t.Errorf("%s: answered %d, %d bytes, %v", form, resp.StatusCode, 100+len(rest), err)
+		}
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.arrivals != 3 || b.most > 1 {
+		t.Errorf("%d arrivals, %d connections at once, want 3 and 1", b.arrivals, b.most)
+	}
+}
+
+// An answer that breaks halfway can't be taken for whole, and is sent once.
+func TestLongAnswerThatBreaksOff(t *testing.T) {
+	long := noise(3 * maxBody)
+	a, b := one(t, func(c net.Conn, req *http.Request, _ int) bool {
+		switch req.URL.RawQuery {
+		case "told":
+			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n", len(long)+1)
+		case "chunks":
+			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n", len(long)+1)
+		}
+		c.Write(long)
+		return false
+	})
+	for i, form := range []string{"told", "chunks"} {
+		lines := a.logged(t)
+		req := newRequest(a.addr, "read", "")
+		req.URL.RawQuery = form
+		resp, err := testClient.Do(req)
+		if err != nil {
+			t.Fatal(err)
+		}
+		got, err := io.ReadAll(resp.Body)
+		resp.Body.Close()
+		if !errors.Is(err, io.ErrUnexpectedEOF) || len(got) > len(long) {
+			t.Errorf("%s: %d bytes, %v", form, len(got), err)
+		}
+		waitLine(t, lines, "answer broken off")
+		if b.count() != i+1 {
+			t.Errorf("%s: %d arrivals, want %d", form, b.count(), i+1)
+		}
+	}
+}
+
+// A client that goes away in the middle of a long answer gives its server's connection up.
+func TestClientLeavesInTheMiddleOfALongAnswer(t *testing.T) {
+	gone := make(chan error, 1)
+	a, _ := one(t, func(c net.Conn, _ *http.Request, _ int) bool {
+		fmt.Fprint(c, "HTTP/1.1 200 OK\r\nContent-Length: 1000000000\r\n\r\n")
+		var err error
+		for piece := noise(maxBody); err == nil; {
+			_, err = c.Write(piece)
+		}
+		gone <- err
+		return false
+	})
+	c := a.dial()
+	fmt.Fprint(c, "GET /api/a HTTP/1.1\r\nHost: x\r\nRequest-Id: 1\r\nRequest-Class: read\r\nRequest-Timeout-Ms: 4000\r\n\r\n")
+	if _, err := c.br.Peek(4096); err != nil {
+		t.Fatal(err)
+	}
+	c.Close()
+	select {
+	case <-gone:
+	case <-time.After(patience):
+		t.Error("the server's connection stays open")
+	}
+}
+
+// What the budget has no room for is not kept, but it goes through.
+func TestBodiesBeyondTheBudgetAreStreamed(t *testing.T) {
+	b := newBudget(&Config{MemoryMB: 1})
+	if !b.TryAcquire(1 << 20 / 6) {
+		t.Fatal("no budget")
+	}
+	kept, whole, held, err := b.gather(strings.NewReader("body"), 4)
+	if len(kept) > 0 || whole || held != 0 || err != nil {
+		t.Errorf("kept %q, whole %v, held %d, %v", kept, whole, held, err)
+	}
+	b.Release(4)
+	kept, whole, held, err = b.gather(strings.NewReader("body"), 4)
+	if string(kept) != "body" || !whole || held != 4 || err != nil {
+		t.Errorf("kept %q, whole %v, held %d, %v", kept, whole, held, err)
+	}
+
+	a, backend := one(t, hashing)
+	for _, bytes := range []budget{a.loop.pool.budget, a.front.budget} {
+		for bytes.TryAcquire(1 << 10) {
+		}
+	}
+	body := noise(100)
+	status, _, got := a.ask(newRequest(a.addr, "order", string(body)))
+	wantStatus(t, status, 200)
+	if got != digest(body) || backend.count() != 1 {
+		t.Errorf("arrived as %s, %d times", got, backend.count())
+	}
+}
+
+// What bodies held of the budget is there again once they are through.
+func TestTheBudgetIsGivenBack(t *testing.T) {
+	a, _ := one(t, func(c net.Conn, req *http.Request, n int) bool {
+		if n%2 == 0 {
+			return send(c, 200, "", strings.Repeat("x", 100*(n+1)))
+		}
+		_, err := fmt.Fprint(c, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\n\r\n")
+		return err == nil
+	})
+	for range 10 {
+		status, _, _ := a.ask(newRequest(a.addr, "order", "some body"))
+		wantStatus(t, status, 200)
+	}
+	all := int64(192) << 20 / 6
+	for end := time.Now().Add(patience); ; time.Sleep(time.Millisecond) {
+		// The handler gives back behind the answer's last byte.
+		if a.front.budget.TryAcquire(all) && a.loop.pool.budget.TryAcquire(all) {
+			break
+		}
+		if time.Now().After(end) {
+			t.Fatal("part of the budget is lost")
+		}
+	}
+}
--- a/internal/agent/loop.go
+++ b/internal/agent/loop.go
@@ -63,6 +63,8 @@
 // figures are counted for the log: every few seconds, and at the end.
 type figures struct {
 	taken, served, late, refused, failed, gone, rejected, backstops, guarded int
+	// broken counts answers that were begun and not passed on whole.
+	broken int
 	// ends counts the attempts by how they ended.
 	ends map[policy.Status]int
 	// probes counts the probes by how they ended.
@@ -81,7 +83,9 @@
 	method, host string
 	url          *url.URL
 	header       http.Header
-	body         []byte
+	body         []byte    // as far as it is kept
+	long         *longBody // its rest, if there is more
+	timeout      time.Duration
 	rules        *policy.Rules // as they were when it came
 	key          uint64
 	retry        bool
@@ -104,7 +108,7 @@
 	late    bool    // failed: because the time was up
 	unfit   bool    // failed: because a backend called the request wrong
 	header  http.Header
-	body    []byte
+	body    *payload
 }
 
 // request is a call in the loop, kept until it is answered and no attempt is out.
@@ -113,6 +117,7 @@
 	call     *call
 	answered bool
 	attempts []*attempt
+	writing  bool // a long body is on its way to a backend: its time has not begun
 	out      int  // attempts out
 	mayRun   int  // attempts that are out or may have run
 	unfit    bool // by a backend's word
@@ -277,14 +282,29 @@
 	})
 	left -= min(moduleMargin, left/8)
 	l.handle(&policy.Event{Kind: policy.EvRequest, Request: r.id, Rules: c.rules,
-		Key: c.key, LeftMs: float64(left.Microseconds()) / 1000, Retry: c.retry})
+		Key: c.key, LeftMs: float64(left.Microseconds()) / 1000, Retry: c.retry, Long: c.long != nil})
 	return r
 }
 
+// written is told when the last byte of a long request is with its backend: from now on its
+// time counts, and the backend works on it.
+func (l *loop) written(r *request, index int) {
+	r.writing = false
+	if r.answered {
+		return
+	}
+	c := r.call
+	c.came, c.deadline = time.Now(), time.Now().Add(c.timeout)
+	r.backstop.Reset(c.timeout - min(backstopMargin, c.timeout/16))
+	left := c.timeout - min(moduleMargin, c.timeout/8)
+	l.handle(&policy.Event{Kind: policy.EvWritten, Request: r.id, Attempt: index,
+		LeftMs: float64(left.Microseconds()) / 1000})
+}
+
 // late is the backstop: the module should have ended the request before. That it
 // did not is a bug or a stall, so it is logged and counted.
 func (l *loop) late(r *request) {
-	if r.answered {
+	if r.answered || r.writing {
 		return
 	}
 	l.figures.backstops++
@@ -294,6 +314,16 @@
 	l.abandon(r)
 }
 
+// discard is called when nobody waits for the answer any more.
+func (l *loop) discard(r *request) {
+	l.left(r)
+	select {
+	case a := <-r.call.answer:
+		a.body.end()
+	default:
+	}
+}
+
 // left is called when a client has gone away.
 func (l *loop) left(r *request) {
 	if r.answered {
@@ -379,7 +409,11 @@
 	t := &attempt{backend: b, sent: now}
 	r.attempts = append(r.attempts, t)
 	until := r.call.deadline.Add(-backstopMargin)
-	if a.Ms != 0 {
+	long := r.call.long != nil
+	switch {
+	case long: // its time counts from its last byte, which has not come
+		until = now.Add(r.call.timeout)
+	case a.Ms != 0:
 		until = earliest(until, now.Add(ms(a.Ms)))
 	}
 	if why := l.forbidden(r, b, now, until); why != "" {
@@ -389,14 +423,17 @@
 			Server: a.Server, Status: policy.Moot, Final: r.answered})
 		return
 	}
+	r.writing = long
 	r.out++
 	r.mayRun++
 	b.out++
 	ctx, cancel := context.WithCancel(l.ctx)
 	t.cancel = cancel
 	addr := b.addr
+	m := &message{request: r.call.request, long: r.call.long, within: r.call.timeout - backstopMargin,
+		written: func() { l.post(func() { l.written(r, index) }) }}
 	go func() {
-		res := l.pool.do(ctx, b, addr, r.call, now, until)
+		res := l.pool.do(ctx, b, addr, m, now, until)
 		cancel()
 		l.post(func() { l.ended(r, index, &res) })
 	}()
@@ -444,6 +481,8 @@
 		return "second attempt while one is out"
 	case len(r.attempts) > c.MaxAttempts:
 		return "more attempts than allowed"
+	case r.call.long.spent():
+		return "repeat of a body that was not kept"
 	case r.mayRun > 0 && c.Effect == policy.SingleShot:
 		return "repeat of an unsafe request that may have run"
 	case !until.After(now):
@@ -463,11 +502,18 @@
 		r.mayRun--
 	}
 	r.unfit = res.status == policy.Unfit
-	if res.status == policy.OK && !r.answered {
+	r.writing = false
+	switch {
+	case r.answered:
+		res.body.end()
+	case res.status == policy.OK:
 		l.finish(r, answer{verdict: served, header: res.header, body: res.body})
+	case res.client != nil:
+		// No more of the request comes, so it is none, and no backend has it whole.
+		l.finish(r, answer{verdict: failed, unfit: true})
 	}
 	l.handle(&policy.Event{Kind: policy.EvOutcome, Request: r.id, Attempt: index, Server: t.backend.name,
-		Status: res.status, LatencyMs: res.latencyMs, Final: r.answered})
+		Status: res.status, LatencyMs: res.latencyMs, Final: r.answered, Spent: r.call.long.spent()})
 	if r.answered && r.out == 0 {
 		delete(l.requests, r.id)
 	}
@@ -582,6 +628,13 @@
 		"open", l.open, "attempts", steps.String())
 }
 
+// brokenOff counts and logs an answer that was begun and not passed on whole.
+func (l *loop) brokenOff(c *call, fromServer, toClient error) {
+	l.figures.broken++
+	l.log(slog.LevelWarn, "answer broken off", "id", c.id, "after_ms", time.Since(c.came).Milliseconds(),
+		"from_server", fromServer, "to_client", toClient)
+}
+
 // rejected counts and logs what came in that is no request of the protocol's.
 func (l *loop) rejected(id, from string, status int, err error) {
 	l.figures.rejected++
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -125,12 +125,11 @@
 		b.onRequest(ev)
 	case EvOutcome:
 		b.onOutcome(ev)
+	case EvWritten:
+		b.onWritten(ev)
 	case EvStarted:
-		if r := b.requests[ev.Request]; r != nil && !r.closed {
-			r.started = true
-			if ev.Attempt >= 0 && ev.Attempt < len(r.attempts) {
-				r.attempts[ev.Attempt].s.heard = now
-			}
+		if a := b.attemptOf(ev); a != nil && !a.r.closed {
+			a.r.started, a.s.heard = true, now
 		}
 	case EvDropped:
 		if r := b.requests[ev.Request]; r != nil && !r.closed {
@@ -185,7 +184,7 @@
 		return
 	}
 	c := b.classOf(rules.Class)
-	r := &request{id: ev.Request, class: c, most: rules.MaxAttempts, key: ev.Key,
+	r := &request{id: ev.Request, long: ev.Long, class: c, most: rules.MaxAttempts, key: ev.Key,
 		arrived: b.now, first: b.now}
 	left := max(ev.LeftMs, 0)
 	r.deadline = b.now + left - min(b.set.RoundMs, left/4)
@@ -244,7 +243,7 @@
 	if r.class == b.worst {
 		v += o.WorstClass * b.credit / c.asked
 	}
-	if b.now+b.expected(r) > r.aimAt {
+	if b.now+r.class.expect > r.aimAt {
 		v *= c.LateShare + b.set.Prices.LateFail
 	}
 	if b.set.WorthBy != "work" {
@@ -302,7 +301,7 @@
 		if r.class.LateShare > 0 && !b.scarce {
 			last = r.deadline
 		}
-		if b.now+b.expected(r) > last || b.now >= r.deadline {
+		if b.now+r.class.expect > last || b.now >= r.deadline {
 			b.end(r)
 			continue
 		}
@@ -327,10 +326,9 @@
 	return 0
 }
 
-// pick walks the best tier that has anyone in the order of the key's hash and
-// takes the first server that is under its cap and has room. Only servers that
-// matter are scored, and none are sorted: with hundreds of them that took more than
-// the agent's CPU share.
+// pick walks the best tier that has anyone in the order of the key's hash and takes the first
+// server that is under its cap and has room. Only servers that matter are scored, and none
+// sorted: with hundreds of them that took more than the agent's CPU share.
 func (b *Balancer) pick(r *request) *server {
 	waits := b.waits(r)
 	for pass := range 6 {
@@ -410,7 +408,7 @@
 func (b *Balancer) holds(s *server) int {
 	n := len(s.out)
 	for _, a := range s.out {
-		if t := lostAfter * max(b.expected(a.r), s.rtt); b.now-a.sentAt > t && s.heard-a.sentAt > t/2 {
+		if t := lostAfter * max(a.r.class.expect, s.rtt); b.now-a.sentAt > t && s.heard-a.sentAt > t/2 {
 			n--
 		}
 	}
@@ -443,17 +441,15 @@
 	return n
 }
 
-// roomFor bounds what the agent has out at all servers together, the same way as a window
-// bounds what it has at one.
+// roomFor bounds what is out at all servers, as a window bounds what is at one.
 func (b *Balancer) roomFor(out int) bool {
 	return float64(out) < max(b.room, 1) && (b.room >= 1 || b.now-b.sentAt >= b.calmLat*b.aimMin/b.room)
 }
 
 // sense keeps the agent's room. Of many servers each answers one of many agents too seldom
-// for its window to follow a crowd: by the time it did, all would have tipped. But when most
-// answers of late took longer than their servers' limit, all are crowded, and each agent
-// sees that within a second or so: it has less out, by steps that it waits to see the
-// effect of, until they are not.
+// for its window to follow a crowd. But when most answers of late took longer than their
+// servers' limit, all are crowded, and each agent sees that within a second or so: it has
+// less out, by steps that it waits to see the effect of, until they are not.
 func (b *Balancer) sense(a *attempt, crowded bool) {
 	x := 0.0
 	if crowded {
@@ -478,8 +474,7 @@
 	return min(max(easeFactor*b.ease, crowdShare/2), easeMost) * b.few()
 }
 
-// few is how much later than one of very many agents one of few has to act by what it meets
-// at all servers or in a single answer.
+// few is how much later than one of very many agents one of few acts by what it meets.
 func (b *Balancer) few() float64 { return 1 + 2/float64(max(b.set.Replicas, 1)) }
 
 // coldShare is the part of an even share that a server may be sent: of a cold one
@@ -534,7 +529,9 @@
 		r.ranAt, r.ranOn = b.now, s
 	}
 	r.risky++
-	s.out = append(s.out, a)
+	if !r.long {
+		b.begin(a)
+	}
 	if s.sentAt > 0 {
 		s.gap = mean(s.gap, b.now-s.sentAt, smooth)
 	}
@@ -542,7 +539,6 @@
 		b.gap = mean(b.gap, b.now-b.sentAt, slowSmooth)
 	}
 	s.sentAt, b.sentAt = b.now, b.now
-	b.inflight++
 	if b.ramp(s) < 1 {
 		s.credit--
 	}
@@ -550,11 +546,26 @@
 	return true
 }
 
+// begin counts an attempt as work of its server.
+func (b *Balancer) begin(a *attempt) {
+	a.begun, a.sentAt = true, b.now
+	a.s.out = append(a.s.out, a)
+	b.inflight++
+}
+
+// onWritten begins a long request: its server has it whole, and its time counts from here.
+func (b *Balancer) onWritten(ev *Event) {
+	if a := b.attemptOf(ev); a != nil && !a.begun && !a.r.closed {
+		a.r.deadline = b.now + ev.LeftMs - min(b.set.RoundMs, ev.LeftMs/4)
+		a.r.aimAt = min(b.now+a.r.class.AimMs, a.r.deadline)
+		b.begin(a)
+	}
+}
+
 // earn keeps each cold server's credit: for all that warm servers have served it may
-// get its share by weight and ramp. Then the servers' shares of all agents together
-// stay in proportion to what they can do, without any agreement. What was only sent
-// does not count: in a crowd it is many times what gets done (ifa9784: 6 attempts a
-// request, most turned away, and 4 times its capacity sent to a cold server).
+// get its share by weight and ramp, so that all agents' shares together stay in proportion.
+// What was only sent does not count: in a crowd it is many times what gets done (ifa9784:
+// 6 attempts a request, most turned away, 4 times its capacity sent to a cold server).
 func (b *Balancer) earn(s *server) {
 	warm := b.warmWeight()
 	if b.ramp(s) < 1 || warm == 0 {
@@ -588,6 +599,15 @@
 	}
 }
 
+// attemptOf is the attempt that an event is about, unless it has ended.
+func (b *Balancer) attemptOf(ev *Event) *attempt {
+	r := b.requests[ev.Request]
+	if r == nil || ev.Attempt < 0 || ev.Attempt >= len(r.attempts) || r.attempts[ev.Attempt].done {
+		return nil
+	}
+	return r.attempts[ev.Attempt]
+}
+
 // close forgets a finished request as soon as no attempt of it is out.
 func (b *Balancer) close(r *request) {
 	r.closed = true
@@ -607,15 +627,19 @@
 // ---- outcomes and health ----
 
 func (b *Balancer) onOutcome(ev *Event) {
-	r := b.requests[ev.Request]
-	if r == nil || ev.Attempt < 0 || ev.Attempt >= len(r.attempts) || r.attempts[ev.Attempt].done {
+	a := b.attemptOf(ev)
+	if a == nil {
 		return
 	}
-	a := r.attempts[ev.Attempt]
-	s := a.s
+	r, s := a.r, a.s
 	a.done = true
 	r.open--
-	b.inflight--
+	if a.begun {
+		b.inflight--
+	}
+	if ev.Spent {
+		r.most = len(r.attempts)
+	}
 	if i := slices.Index(s.out, a); i >= 0 {
 		s.out = slices.Delete(s.out, i, i+1)
 	}
@@ -649,10 +673,9 @@
 	}
 }
 
-// further holds an unanswered request for another server where its class and time
-// allow, and ends it otherwise. Further attempts are earned by served requests: where few
-// are served they would only multiply the load (ia9314f, ifa9784: two to six attempts a
-// request, most turned away).
+// further holds an unanswered request for another server where its class and time allow,
+// and ends it otherwise. Further attempts are earned by served requests: where few are served
+// they would only multiply the load (ia9314f, ifa9784: two to six attempts a request).
 func (b *Balancer) further(r *request, why Status) {
 	c := r.class
 	able := r.risky == 0 || c.Effect == Free || c.Effect == Guarded
@@ -704,9 +727,8 @@
 	}
 }
 
-// weighZone moves the own zone's weight up while the part of what is sent there and not
-// served in time is under the price of crossing, and down while it is above: one zone may
-// have more traffic than its servers can carry.
+// weighZone moves the own zone's weight up while the part of what is sent there and missed is
+// under the price of crossing, and down above it: it may have more than its servers can carry.
 func (b *Balancer) weighZone(s *server, missed bool) {
 	if s.zone != b.set.Zone {
 		return
@@ -719,8 +741,7 @@
 }
 
 // rest lets a crowded server miss about so many turns of this agent. One that sees it twice a
-// minute cannot follow its crowd by window; but all agents together send it less by the
-// part of them that met it crowded.
+// minute cannot follow its crowd by window; but all together send it less by those that met it.
 func (b *Balancer) rest(s *server, turns float64) {
 	turn := b.gap * float64(len(b.servers))
 	s.restUntil = b.now + min(turns*turn, b.set.Contract.ColdMs)*(0.5+b.rng.Float64())
@@ -804,10 +825,9 @@
 	return min(crowdShare, max(crowdFactor*max(b.calmLat, s.calm), least)) / b.ramp(s)
 }
 
-// calmRise is how fast calm follows longer answer times: hardly, or a crowd would
-// become the measure. An attempt that was alone of its agent tells more the fewer
-// agents there are, as those see most of the load: a lone agent that took quick first
-// answers for calm would leave its servers idle for good.
+// calmRise is how fast calm follows longer answer times: hardly, or a crowd would become the
+// measure. An attempt that was alone of its agent tells more the fewer agents there are: a
+// lone one that took quick first answers for calm would leave its servers idle for good.
 func (b *Balancer) calmRise(a *attempt) float64 {
 	if a.alone {
 		return slowSmooth / min(2*math.Pow(float64(max(b.set.Replicas, 1)), 3), 250)
@@ -815,10 +835,9 @@
 	return slowSmooth / 250
 }
 
-// heardFrom notes an answer. A server that no connect reached for long may be a new
-// process, cold and not yet listed as such: it is ramped as if it had started now.
-// Time-outs alone don't tell: crowded servers would be left to idle (i228a10).
-// Quick answers do not clear it: a cold server is quick while it has little.
+// heardFrom notes an answer. A server that no connect reached for long may be a new process,
+// not yet listed as such: it is ramped as if it had started now. Time-outs alone don't tell
+// (i228a10), and quick answers don't clear it: a cold server is quick while it has little.
 func (b *Balancer) heardFrom(s *server) {
 	if s.lostAt > 0 && b.now-s.lostAt > b.set.Contract.TipAfterMs {
 		s.startedAt, s.window, s.credit = b.now, 1, 0
@@ -852,10 +871,9 @@
 	b.refetch()
 }
 
-// holdFor is how long a server stays Unhealthy before it is validated again: one
-// aim for a stray failure, doubled with each further strike. While the others have
-// no room there is none: a server that fails some requests is better than refusing
-// them all. One that answers nothing is not.
+// holdFor is how long a server stays Unhealthy before it is validated again: one aim for a
+// stray failure, doubled with each further strike. While the others have no room there is none:
+// one that fails some requests is better than refusing them all, unless it answers nothing.
 func (b *Balancer) holdFor(s *server) float64 {
 	if b.scarce && !s.silent {
 		return 0
@@ -871,7 +889,7 @@
 			continue
 		}
 		a := s.out[0]
-		if b.now-max(s.heard, a.sentAt) >= b.expected(a.r)*8/float64(min(len(s.out), 3)) {
+		if b.now-max(s.heard, a.sentAt) >= a.r.class.expect*8/float64(min(len(s.out), 3)) {
 			b.demote(s, true)
 		}
 	}
@@ -914,10 +932,9 @@
 
 // ---- the list ----
 
-// refetch asks for the whole list, seldom: the stream of changes is as fresh. Where
-// discovery is asked there is no other call than for that stream: at one bad server's
-// first failures all agents would ask, and their whole lists keep discovery from the
-// calls that bring changes.
+// refetch asks for the whole list, seldom: the stream of changes is as fresh. Where discovery
+// is asked there is no other call: at one bad server's first failures all agents would ask,
+// and their whole lists keep discovery from the calls that bring changes.
 func (b *Balancer) refetch() {
 	if b.set.Membership != "on_request" && b.now-b.lookedAt >= max(b.set.Contract.AskWithinMs, 1000) {
 		b.lookedAt = b.now
--- a/policy/state.go
+++ b/policy/state.go
@@ -55,6 +55,7 @@
 	s      *server
 	index  int
 	sentAt float64
+	begun  bool // its server has all of it
 	alone  bool // no other of this agent was out on its server
 	done   bool
 }
@@ -63,7 +64,8 @@
 type request struct {
 	id         RequestID
 	class      *class
-	most       int // attempts that it may have
+	most       int  // attempts that it may have
+	long       bool // goes to its server as it comes
 	key        uint64
 	spot       uint64  // the key, or one of its parts
 	first      float64 // when the client's first try came, as far as known
@@ -153,7 +155,7 @@
 	return k
 }
 
-// tally keeps the classes' shares of requests and of those served in time.
+// tally keeps the classes' shares of requests.
 func (b *Balancer) tally(of *class) {
 	b.credit = 0
 	for _, c := range b.classes {
@@ -240,9 +242,6 @@
 	return min(rtt/r.class.AimMs, 2)
 }
 
-// expected is how long an answer to the request takes, on the mean.
-func (b *Balancer) expected(r *request) float64 { return r.class.expect }
-
 // enter notes a server's new state and its time; tiers have changed.
 func (b *Balancer) enter(s *server, to State) {
 	if s.state > Unknown || to > Unknown {
--- a/policy/types.go
+++ b/policy/types.go
@@ -186,8 +186,9 @@
 
 // The events.
 const (
-	EvRequest EventKind = iota + 1 // Request, Rules or Class, Key, LeftMs, Retry
-	EvOutcome                      // Request, Attempt, Server, Status, LatencyMs, Final
+	EvRequest EventKind = iota + 1 // Request, Rules or Class, Key, LeftMs, Retry, Long
+	EvOutcome                      // Request, Attempt, Server, Status, LatencyMs, Final, Spent
+	EvWritten                      // Request, Attempt, LeftMs: the last byte of a long one is with its server
 	EvStarted                      // Request, Attempt, Server, LatencyMs: a streamed answer began
 	EvDropped                      // Request: the client left
 	EvList                         // List, Entries
@@ -205,6 +206,8 @@
 	Key       uint64 // 0: none
 	LeftMs    float64
 	Retry     bool
+	Long      bool // its body goes to a server as it comes; its time counts from EvWritten on
+	Spent     bool // bytes of its body are gone: it can't be sent again
 	Attempt   int
 	Server    Addr
 	Status    Status
