Share the limits out between two processes of one agent

A lock file in $TMPDIR tells the new process that another is there: it has half of the bytes and descriptors until the lock is free, and the old one gives half up at SIGTERM. The kernel frees a lock however its holder ends. A cold server's credit needs no sharing: it is earned by what each process has served.

The slots of clients' connections are a quota of ours now, in place of netutil's fixed one. That showed a mistake in leaving connections: behind netutil's wrapper the look for a request that has come saw no socket, and it looked under a deadline that is past, where nothing can be seen. Seen as TestOperatorsDrainAndRefill hanging with the bare socket; Read in front.go.

--- a/cmd/ringtrack/main.go
+++ b/cmd/ringtrack/main.go
@@ -10,6 +10,7 @@
 	"net"
 	"os"
 	"os/signal"
+	"path/filepath"
 	"runtime"
 	"runtime/debug"
 	"strconv"
@@ -38,7 +39,7 @@
 	// Collect seldom, as the heap is small and the core is shared, but long
 	// before the memory limit, over which the agent would be killed.
 	debug.SetGCPercent(400)
-	debug.SetMemoryLimit(int64(cfg.MemoryMB) << 20 * 3 / 4)
+	debug.SetMemoryLimit(cfg.MemoryLimit())
 	stop, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer cancel()
 	ln, err := listen(cfg, os.Getenv("PROXY_LISTEN_FD"))
@@ -61,7 +62,7 @@
 // names its descriptor: the platform holds it, and other processes accept from it too.
 func listen(cfg *agent.Config, fd string) (ln agent.Listeners, err error) {
 	if fd != "" {
-		ln.Shared = true
+		ln.Shared, ln.Lock = true, filepath.Join(os.TempDir(), "ringtrack.lock")
 		ln.Clients, err = inherited(fd)
 	} else {
 		ln.Clients, err = net.Listen("tcp", cfg.Listen)
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -15,6 +15,8 @@
 	// Shared tells that other processes accept from the clients' queue too: it
 	// outlives this process.
 	Shared bool
+	// Lock is the file that tells such processes of each other.
+	Lock string
 	// Operators is their door; nil: there is none.
 	Operators net.Listener
 }
@@ -49,7 +51,14 @@
 		defer m.close()
 		go func() { failed <- m.serve(ln.Operators) }()
 	}
-	clients := f.limited(ln.Clients)
+	share := &shares{cfg: cfg, conns: f.conns, pool: l.pool, quotas: []quota{f.conns.slots, f.budget, l.pool.budget}}
+	if ln.Shared {
+		// Before the first client, so that what the other process has is left to it.
+		if err := share.takeTurn(ctx, ln.Lock); err != nil {
+			return fmt.Errorf("agent: %w", err)
+		}
+	}
+	clients := newClientListener(ln.Clients, f.conns.slots)
 	serve := func() { failed <- f.serve(clients) }
 	if !ln.Shared {
 		// Until a backend is known clients are answered that it is not.
@@ -77,6 +86,9 @@
 			serving = false
 		}
 	}
+	if ln.Shared {
+		share.halve(ctx) // the other process is there, or comes
+	}
 	if err := f.shutdown(clients, ln.Shared, held); err != nil {
 		slog.Warn("shutdown", "err", err)
 	}
@@ -86,6 +98,10 @@
 	return nil
 }
 
+// MemoryLimit is the memory that the runtime is to keep within, long before the limit over
+// which the agent would be killed.
+func (c *Config) MemoryLimit() int64 { return int64(c.MemoryMB) << 20 * 3 / 4 }
+
 // heldFor is how long clients are served after SIGTERM at the most. SIGKILL comes no sooner
 // than the longest deadline and 0.7 s after it: what came while connections still did has
 // its whole time, and the end is well before that.
--- a/internal/agent/backend.go
+++ b/internal/agent/backend.go
@@ -52,7 +52,7 @@
 // have run.
 type pool struct {
 	max    int
-	budget budget
+	budget quota
 
 	mu             sync.Mutex
 	connectTimeout time.Duration
@@ -88,6 +88,14 @@
 	return p
 }
 
+// limit bounds the connections from now on.
+func (p *pool) limit(most int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for p.max = most; p.open > p.max && p.evict(); {
+	}
+}
+
 // retune puts the settings in force for connections from now on.
 func (p *pool) retune(c *Config) {
 	p.mu.Lock()
--- a/internal/agent/body.go
+++ b/internal/agent/body.go
@@ -9,8 +9,6 @@
 	"sync"
 	"sync/atomic"
 	"time"
-
-	"golang.org/x/sync/semaphore"
 )
 
 const (
@@ -31,12 +29,9 @@
 	gatherTime = 250 * time.Millisecond
 )
 
-// budget counts the bytes of bodies that the process keeps.
-type budget struct{ *semaphore.Weighted }
-
-// newBudget takes a sixth of the memory: what streams and the rest of the process need
-// grows with the connections, which the descriptors bound.
-func newBudget(c *Config) budget { return budget{semaphore.NewWeighted(int64(c.MemoryMB) << 20 / 6)} }
+// newBudget counts the bytes of bodies that are kept: a sixth of the memory. What streams and
+// the rest of the process need grows with the connections, which the descriptors bound.
+func newBudget(c *Config) quota { return newQuota(int64(c.MemoryMB) << 20 / 6) }
 
 // clientBody reads a client's body and ends one that comes too slowly. Only the time that
 // is spent waiting for the client counts, not the time that a server takes to read.
@@ -111,12 +106,12 @@
 
 // gather reads what is to be kept of a body of a length (-1: not told), as far as the budget
 // has room, and tells whether that is all of it, and what of the budget it holds.
-func (b budget) gather(from io.Reader, length int64) (kept []byte, whole bool, held int64, err error) {
+func (q quota) gather(from io.Reader, length int64) (kept []byte, whole bool, held int64, err error) {
 	most := int64(maxBody)
 	if length >= 0 {
 		most = min(most, length)
 	}
-	if !b.TryAcquire(most) {
+	if !q.TryAcquire(most) {
 		return nil, length == 0, 0, nil
 	}
 	if length >= 0 {
@@ -136,7 +131,7 @@
 	kept   []byte
 	rest   *stream // nil: kept is all
 	length int64   // -1: not told
-	budget budget
+	budget quota
 	held   int64
 }
 
--- a/internal/agent/body_test.go
+++ b/internal/agent/body_test.go
@@ -299,7 +299,7 @@
 	}
 
 	a, backend := one(t, hashing)
-	for _, bytes := range []budget{a.loop.pool.budget, a.front.budget} {
+	for _, bytes := range []quota{a.loop.pool.budget, a.front.budget} {
 		for bytes.TryAcquire(1 << 10) {
 		}
 	}
--- a/internal/agent/front.go
+++ b/internal/agent/front.go
@@ -16,8 +16,6 @@
 	"sync/atomic"
 	"time"
 
-	"golang.org/x/net/netutil"
-
 	"clayproxy.example/clayproxy/policy"
 )
 
@@ -42,7 +40,7 @@
 	loop    *loop
 	server  *http.Server
 	classes atomic.Pointer[classTable]
-	budget  budget // of requests' bodies
+	budget  quota // of requests' bodies
 	conns   *clientConns
 
 	usable  atomic.Bool // a backend may be sent to
@@ -91,12 +89,6 @@
 	f.classes.Store(t)
 }
 
-// limited is the listener with which clients beyond the limit wait in the accept queue,
-// not as descriptors.
-func (f *front) limited(ln net.Listener) net.Listener {
-	return clientListener{netutil.LimitListener(ln, f.conns.max)}
-}
-
 // serve accepts clients until the listener is closed.
 func (f *front) serve(ln net.Listener) error {
 	f.accepting.Add(1)
@@ -338,6 +330,7 @@
 // clientConn is a client's connection that tells whether this agent has closed it.
 type clientConn struct {
 	net.Conn
+	release func() // gives its slot back
 	closed  atomic.Bool
 	leaving atomic.Bool // to be closed if nothing has come
 	begun   atomic.Bool // bytes have come since it idled last
@@ -357,27 +350,54 @@
 		if n > 0 {
 			c.begun.Store(true)
 		}
-		if n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) || !c.leaving.Swap(false) ||
-			!c.begun.Load() && alive(c.Conn) {
+		if n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) || !c.leaving.Swap(false) {
 			return n, err
 		}
+		// Nothing can be looked at under a deadline that is past.
 		c.SetReadDeadline(time.Now().Add(headTime))
+		if !c.begun.Load() && alive(c.Conn) {
+			return n, err
+		}
 	}
 }
 
 func (c *clientConn) Close() error {
-	c.closed.Store(true)
-	return c.Conn.Close()
+	err := c.Conn.Close()
+	if !c.closed.Swap(true) {
+		c.release()
+	}
+	return err
 }
 
-type clientListener struct{ net.Listener }
+// clientListener accepts as many connections as there are slots: clients beyond them wait
+// in the accept queue, not as descriptors.
+type clientListener struct {
+	net.Listener
+	slots quota
+	open  context.Context
+	stop  context.CancelFunc
+}
+
+func newClientListener(ln net.Listener, slots quota) clientListener {
+	open, stop := context.WithCancel(context.Background())
+	return clientListener{ln, slots, open, stop}
+}
 
 func (l clientListener) Accept() (net.Conn, error) {
+	if err := l.slots.Acquire(l.open, 1); err != nil {
+		return nil, net.ErrClosed
+	}
 	c, err := l.Listener.Accept()
 	if err != nil {
+		l.slots.Release(1)
 		return nil, err
 	}
-	return &clientConn{Conn: c}, nil
+	return &clientConn{Conn: c, release: func() { l.slots.Release(1) }}, nil
+}
+
+func (l clientListener) Close() error {
+	l.stop()
+	return l.Listener.Close()
 }
 
 // clientConns closes the client connections that have idled longest when there
@@ -389,8 +409,9 @@
 // that is being closed no longer counts and is not chosen again: the server
 // notices the close only later.
 type clientConns struct {
-	max     int
+	slots   quota
 	mu      sync.Mutex
+	max     int
 	open    map[net.Conn]bool // true: being closed
 	closing int
 	order   list.List // idle connections, the longest idle first
@@ -399,7 +420,7 @@
 }
 
 func newClientConns(most int) *clientConns {
-	return &clientConns{max: most, open: map[net.Conn]bool{}, idle: map[net.Conn]*list.Element{}}
+	return &clientConns{max: most, slots: newQuota(int64(most)), open: map[net.Conn]bool{}, idle: map[net.Conn]*list.Element{}}
 }
 
 func (c *clientConns) track(nc net.Conn, state http.ConnState) {
@@ -426,6 +447,19 @@
 			c.left = nil
 		}
 	}
+	c.makeRoom()
+}
+
+// limit bounds the connections from now on; the slots bound what is accepted.
+func (c *clientConns) limit(most int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.max = most
+	c.makeRoom()
+}
+
+// makeRoom closes those that have idled longest while there are nearly too many. The lock is held.
+func (c *clientConns) makeRoom() {
 	for len(c.open)-c.closing > c.max*7/8 && c.order.Len() > 0 {
 		oldest := c.order.Front().Value.(net.Conn)
 		c.busy(oldest)
--- a/internal/agent/management_test.go
+++ b/internal/agent/management_test.go
@@ -167,7 +167,7 @@
 			t.Fatal(err)
 		}
 		t.Cleanup(func() { client.Close() })
-		c, err := clientListener{ln}.Accept()
+		c, err := newClientListener(ln, newQuota(8)).Accept()
 		if err != nil {
 			t.Fatal(err)
 		}
