Answer what is held before the kill, and take nothing that comes late after SIGTERM

Second: long answers to requests that were complete only after SIGTERM (slow heads and bodies), cut off by the kill. What is complete 0.6 s after SIGTERM or later is refused, long bodies on their way are withdrawn before their last byte, which no server counts, and answers go on until the kill.

Both tests at the end of an agent fail without the change.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -102,13 +102,16 @@
 // which the agent would be killed.
 func (c *Config) MemoryLimit() int64 { return int64(c.MemoryMB) << 20 * 3 / 4 }
 
-// heldFor is how long clients are served after SIGTERM at the most. SIGKILL comes no sooner
-// than the longest deadline and 0.7 s after it: what came while connections still did has
-// its whole time, and the end is well before that.
+// longestWait is how long a deadline counts for the platform at the most.
+const longestWait = 3 * time.Second
+
+// heldFor is how long requests are held after SIGTERM at the most. SIGKILL comes no sooner
+// than the longest deadline (but longestWait) and 0.7 s after it: what came while connections
+// still did has its whole time up to that, and its final answer well before the kill.
 func (c *Config) heldFor() time.Duration {
 	held := 100 * time.Millisecond
 	for _, class := range c.Settings.Classes {
-		held = max(held, ms(class.GiveUpMs)+50*time.Millisecond)
+		held = max(held, min(ms(class.GiveUpMs), longestWait)+50*time.Millisecond)
 	}
 	return linger + held
 }
--- a/internal/agent/backend.go
+++ b/internal/agent/backend.go
@@ -126,9 +126,10 @@
 // do makes one attempt and returns how it ended, exactly once. It never sends
 // anything twice. Cancelling ctx withdraws the attempt and closes its connection.
 func (p *pool) do(ctx context.Context, b *backend, addr string, m *message, sent, deadline time.Time) result {
+	whole := m.long == nil
 	if written := m.written; m.long != nil {
 		m.written = func() {
-			sent = time.Now()
+			sent, whole = time.Now(), true
 			written()
 		}
 	}
@@ -136,7 +137,9 @@
 	// A withdrawn attempt says nothing of its backend, also where the withdrawal cut
 	// off a connect; an answer that was already there stands.
 	if ctx.Err() != nil && r.status != policy.OK && r.status != policy.Full {
-		r.status = policy.Cancelled
+		if r.status = policy.Cancelled; !whole && r.client == nil {
+			r.status = policy.Moot // its last byte was never sent
+		}
 	}
 	r.latencyMs = float64(time.Since(sent).Microseconds()) / 1000
 	return r
--- a/internal/agent/body_test.go
+++ b/internal/agent/body_test.go
@@ -335,3 +335,42 @@
 		}
 	}
 }
+
+// A long request that is still coming when the process ends is refused and can go to
+// another one; its server has none of it that counts.
+func TestLongBodyIsRefusedAtTheEnd(t *testing.T) {
+	t.Parallel()
+	a, b := one(t, hashing)
+	c := a.dial()
+	fmt.Fprintf(c, "POST /api/a HTTP/1.1\r\nHost: x\r\nRequest-Id: 1\r\nRequest-Class: order\r\n"+
+		"Request-Timeout-Ms: 4000\r\nContent-Length: %d\r\n\r\n", 20*maxBody)
+	c.Write(noise(3 * maxBody))
+	for { // until it is on its way
+		writing := make(chan bool, 1)
+		a.loop.post(func() { writing <- len(a.loop.requests) == 1 && a.loop.requests[1].writing })
+		if <-writing {
+			break
+		}
+	}
+	late := a.dial() // its head comes in two parts, the second of them after the end has begun
+	fmt.Fprint(late, "GET /api/a HTTP/1.1\r\nHost: x\r\nRequest-Id: 2\r\nRequest-Class: read\r\n")
+	a.stop()
+	refused := func(name string, k *kept) {
+		t.Helper()
+		resp, err := http.ReadResponse(k.br, nil)
+		if err != nil {
+			t.Fatalf("%s: %v", name, err)
+		}
+		if resp.StatusCode != 503 || resp.Header.Get("Retry-After") == "" || !resp.Close {
+			t.Errorf("%s: answered %d, %v", name, resp.StatusCode, resp.Header)
+		}
+		k.Close()
+	}
+	refused("long", c)
+	fmt.Fprint(late, "Request-Timeout-Ms: 4000\r\n\r\n")
+	refused("late", late)
+	<-b.ended
+	if b.count() != 0 {
+		t.Errorf("%d arrivals, want none", b.count())
+	}
+}
--- a/internal/agent/front.go
+++ b/internal/agent/front.go
@@ -23,6 +23,9 @@
 	// linger is how long connections still come after SIGTERM or a drain's start: 0.4 s at
 	// most, and what stands in the accept queue by then. Those that idle after it are closed.
 	linger = 500 * time.Millisecond
+	// takenFor is how long after SIGTERM requests are still taken: what comes later is lost
+	// if the kill finds it unanswered, and can go to another process.
+	takenFor = 600 * time.Millisecond
 	// sweepIdle is how often idle connections are looked for while the front empties.
 	sweepIdle = 50 * time.Millisecond
 	// headTime bounds how long a request's head may take to come: clients may take 2 s, and
@@ -50,6 +53,7 @@
 	emptying atomic.Bool        // clients are sent away; set under mu
 	refill   context.CancelFunc // ends the emptying
 	ending   bool               // the front empties for good
+	closed   atomic.Bool        // nor are requests taken that are still coming
 
 	accepting sync.WaitGroup // serve, until it accepts no more
 }
@@ -76,13 +80,15 @@
 // classTable has the rules of each class by its name, and what else settings say of requests.
 // It is never changed, but replaced.
 type classTable struct {
-	rules      map[string]*policy.Rules
-	marksRetry bool
+	rules        map[string]*policy.Rules
+	marksRetry   bool
+	retryAfterMs float64
 }
 
 // retune puts the settings in force for requests that come from now on.
 func (f *front) retune(cfg *Config) {
-	t := &classTable{rules: map[string]*policy.Rules{}, marksRetry: cfg.Settings.Clients.MarksRetry}
+	t := &classTable{rules: map[string]*policy.Rules{}, marksRetry: cfg.Settings.Clients.MarksRetry,
+		retryAfterMs: cfg.Settings.Limits.MaxRetryAfterMs}
 	for _, c := range cfg.Settings.Classes {
 		t.rules[c.Name] = &policy.Rules{Class: c, MaxAttempts: cfg.Settings.Limits.MaxAttempts}
 	}
@@ -143,12 +149,22 @@
 	return nil
 }
 
-// shutdown ends service without losing a request, within held. An accept queue that is
+// streamsFor is how long answers that are being passed on may take after the last request
+// has its answer. The platform kills long before; it is for those that do not.
+const streamsFor = time.Minute
+
+// shutdown ends service without losing a request: what is held has its answer within held,
+// and what is being passed on then goes on, for streamsFor at the most. An accept queue that is
 // closed resets what it holds, so while connections still come after the signal they are
 // accepted. A queue that is shared is not closed with this process's listener: what it
 // holds is for the other process, at once.
 func (f *front) shutdown(ln net.Listener, shared bool, held time.Duration) error {
-	over := time.After(held)
+	over := time.NewTimer(held)
+	defer over.Stop()
+	defer time.AfterFunc(takenFor, func() {
+		f.closed.Store(true)
+		f.loop.post(f.loop.breakOff)
+	}).Stop()
 	f.mu.Lock()
 	f.ending = true
 	f.serving.Store(false)
@@ -163,14 +179,17 @@
 	f.accepting.Wait() // what was accepted last is counted by then
 	defer f.server.Close()
 	defer f.refill()
-	for {
+	for _, then := range []func(){func() { f.loop.post(f.loop.giveUp) }, func() {}} {
 		select {
 		case <-f.conns.none():
 			return nil
-		case <-over:
-			return fmt.Errorf("%d connections of clients still open", f.conns.size())
+		case <-over.C:
+			slog.Warn("connections of clients still open", "count", f.conns.size(), "after", held)
+			then()
+			over.Reset(streamsFor)
 		}
 	}
+	return fmt.Errorf("%d connections of clients still open", f.conns.size())
 }
 
 func (f *front) ServeHTTP(w http.ResponseWriter, req *http.Request) {
@@ -211,6 +230,10 @@
 		http.Error(w, err.Error(), status)
 		return
 	}
+	if f.closed.Load() {
+		f.write(w, c, answer{verdict: refused, afterMs: f.classes.Load().retryAfterMs})
+		return
+	}
 	took := make(chan *request, 1)
 	f.loop.post(func() { took <- f.loop.take(c) })
 	select {
--- a/internal/agent/loop.go
+++ b/internal/agent/loop.go
@@ -324,6 +324,32 @@
 	}
 }
 
+// breakOff withdraws the long requests that are still on their way to a backend: none has it
+// whole, so they can come again, to another process.
+func (l *loop) breakOff() {
+	for _, r := range l.requests {
+		if t := len(r.attempts) - 1; r.writing && t >= 0 && r.attempts[t].cancel != nil {
+			r.attempts[t].cancel()
+		}
+	}
+}
+
+// giveUp ends what is held: the process is about to be killed, and whatever has no final
+// answer by then is lost. What can't have run may come again, to another process.
+func (l *loop) giveUp() {
+	for _, r := range l.requests {
+		switch {
+		case r.answered:
+			continue
+		case r.mayRun == 0:
+			l.refuse(r, l.cfg.Settings.Limits.MaxRetryAfterMs)
+		default:
+			l.finish(r, answer{verdict: failed, late: true})
+		}
+		l.abandon(r)
+	}
+}
+
 // left is called when a client has gone away.
 func (l *loop) left(r *request) {
 	if r.answered {
--- a/internal/agent/management_test.go
+++ b/internal/agent/management_test.go
@@ -248,3 +248,53 @@
 		t.Errorf("a guard had to act: %+v", f)
 	}
 }
+
+// Before the process may be killed, what it holds has its final answer, and an answer that
+// is being passed on goes on.
+func TestWhatIsHeldAtTheEndIsAnswered(t *testing.T) {
+	t.Parallel()
+	held, more := make(chan struct{}, 2), make(chan struct{})
+	a, _ := one(t, func(c net.Conn, req *http.Request, _ int) bool {
+		if req.URL.Query().Has("streams") {
+			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\nfirst", 2*maxBody)
+			held <- struct{}{}
+			<-more
+			_, err := c.Write(noise(2*maxBody - 5))
+			return err == nil
+		}
+		held <- struct{}{}
+		<-more
+		return false
+	})
+	ask := func(query string) <-chan string {
+		got := make(chan string, 1)
+		req := newRequest(a.addr, "order", "x")
+		req.Header.Set("Request-Timeout-Ms", "30000") // longer than the platform waits
+		req.URL.RawQuery = query
+		go func() {
+			resp, err := testClient.Do(req)
+			if err != nil {
+				got <- err.Error()
+				return
+			}
+			body, err := io.ReadAll(resp.Body)
+			resp.Body.Close()
+			got <- fmt.Sprint(resp.StatusCode, len(body), err)
+		}()
+		<-held
+		return got
+	}
+	waits, streams := ask(""), ask("streams")
+	a.stop()
+	if got := <-waits; got != "504 0 <nil>" {
+		t.Errorf("what is held: %s", got)
+	}
+	close(more)
+	if got, want := <-streams, fmt.Sprint(200, 2*maxBody, nil); got != want {
+		t.Errorf("what is passed on: %s, want %s", got, want)
+	}
+	if err := <-a.done; err != nil {
+		t.Errorf("the agent ended with %v", err)
+	}
+	a.done <- nil // for the cleanup
+}
