--- a/policy/policy.go
+++ b/policy/policy.go
@@ -403,18 +403,23 @@
 	return float64(b.holds(s)) < math.Ceil(capFactor*float64(b.inflight+1)*share) && b.hasRoom(s, r)
 }
 
-// holds is the number of attempts that a server is at work on: one that was overtaken by
-// answers to later ones for several answer times is lost, and keeps no room till its end.
+// holds is the number of attempts that a server is at work on: a lost one keeps no room.
 func (b *Balancer) holds(s *server) int {
 	n := len(s.out)
 	for _, a := range s.out {
-		if t := lostAfter * max(a.r.class.expect, s.rtt); b.now-a.sentAt > t && s.heard-a.sentAt > t/2 {
+		if b.overtaken(a) {
 			n--
 		}
 	}
 	return n
 }
 
+// overtaken tells whether its server has answered later ones for several answer times.
+func (b *Balancer) overtaken(a *attempt) bool {
+	t := lostAfter * max(a.r.class.expect, a.s.rtt)
+	return b.now-a.sentAt > t && a.s.heard-a.sentAt > t/2
+}
+
 // hasRoom bounds what a server holds of this agent: its window, one at a time
 // until it is validated, and a cold server's credit.
 func (b *Balancer) hasRoom(s *server, r *request) bool {
@@ -708,8 +713,11 @@
 			s.lostAt = b.now
 		}
 	case Timeout:
-		// A server that answered others meanwhile is not to blame for a costly
-		// request; it counts as slow.
+		// Overtaken at a server that answers well, its answer was lost and tells nothing.
+		// A server that answered others meanwhile is not to blame, and counts as slow.
+		if s.lat <= b.limit(s) && b.overtaken(a) {
+			break
+		}
 		b.weighZone(s, true)
 		b.rest(s, 1)
 		if s.heard > a.sentAt {
