--- a/policy/policy.go
+++ b/policy/policy.go
@@ -893,11 +893,12 @@
 // several answer times: hung or gone silent, they would stay Connected.
 func (b *Balancer) watchSilence() {
 	for _, s := range b.servers {
-		if len(s.out) == 0 || s.state == Unhealthy {
+		i := slices.IndexFunc(s.out, func(a *attempt) bool { return !b.overtaken(a) })
+		if i < 0 || s.state == Unhealthy {
 			continue
 		}
-		a := s.out[0]
-		if b.now-max(s.heard, a.sentAt) >= a.r.class.expect*8/float64(min(len(s.out), 3)) {
+		a := s.out[i]
+		if b.now-max(s.heard, a.sentAt) >= a.r.class.expect*8/float64(min(len(s.out)-i, 3)) {
 			b.demote(s, true)
 		}
 	}
