--- a/policy/policy.go
+++ b/policy/policy.go
@@ -893,12 +893,11 @@
 // several answer times: hung or gone silent, they would stay Connected.
 func (b *Balancer) watchSilence() {
 	for _, s := range b.servers {
-		i := slices.IndexFunc(s.out, func(a *attempt) bool { return !b.overtaken(a) })
-		if i < 0 || s.state == Unhealthy {
+		if len(s.out) == 0 || s.state == Unhealthy {
 			continue
 		}
-		a := s.out[i]
-		if b.now-max(s.heard, a.sentAt) >= a.r.class.expect*8/float64(min(len(s.out)-i, 3)) {
+		a := s.out[0]
+		if b.now-max(s.heard, a.sentAt) >= a.r.class.expect*8/float64(min(len(s.out), 3)) {
 			b.demote(s, true)
 		}
 	}
@@ -995,7 +994,7 @@
 	s, since := b.byAddr[e.Server], min(finite(e.SinceMs), b.now)
 	if s == nil {
 		s = &server{id: e.Server, hash: mix(hashAddr(e.Server)), state: Unknown, since: b.now,
-			window: firstWindow, startedAt: since, listedAt: since}
+			window: max(firstWindow, 8/float64(max(b.set.Replicas, 1))), startedAt: since, listedAt: since}
 		b.byAddr[s.id] = s
 		s.credit = b.rng.Float64()
 		i, _ := slices.BinarySearchFunc(b.servers, s, func(x, y *server) int {
