--- a/policy/policy.go
+++ b/policy/policy.go
@@ -14,8 +14,7 @@
 	// capFactor is c: how far above its even share of the agent's attempts a
 	// server may go before a key's request moves on to the next in hash order.
 	capFactor = 3.0
-	// crowdShare is the part of the aim that a server's mean answer time may
-	// take before the agent gives it less: the rest is for the spread.
+	// crowdShare is the part of the aim that a mean answer may take: the rest is for the spread.
 	crowdShare = 0.5
 	// crowdFactor is how many times the fleet's calm answer time a server's mean may be
 	// before it counts as crowded: enough to keep its cores busy, too little to tip it.
@@ -26,27 +25,22 @@
 	lostAfter = 6.0
 	// firstWindow is the number of attempts an unmeasured server may hold.
 	firstWindow = 2.0
-	// learnFor is the number of answers that make the first measure of calm; until
-	// then no window grows, so that a start does not crowd what it measures.
+	// learnFor is the number of answers that first measure calm; until then no window grows.
 	learnFor = 50
-	// leastWindow is what is left to a server however crowded it is: enough to see
-	// when it is not.
+	// leastWindow is left to a server however crowded it is: enough to see when it is not.
 	leastWindow, tipFactor = 0.1, 2.5
-	// keyWait is the part of its aim that a request may wait for one of the
-	// keyServers nearest its key: going on at once would lose the warm key and
-	// warm it up elsewhere, just when servers are short of time.
+	// keyWait is the part of its aim that a request may wait for one of the keyServers nearest
+	// its key: going on at once would lose the warm key, just when servers are short of time.
 	keyWait, keyServers = 0.25, 2
-	// keyPart is the most of a server's even share that one part of a key may bring: the
-	// sum over parts is what makes servers unequal. keyMemory is the number of requests,
-	// for each part there may be, by which a key's share is known.
+	// keyPart is the most of a server's even share that one part of a key may bring, keyMemory
+	// the number of requests, for each part there may be, by which a key's share is known.
 	keyPart, keyMemory = 0.25, 2.0
 	// ownLeast and ownMost bound how much more a server of the agent's own zone weighs in a
 	// key's order: crossing takes time and may have a price. ownStep is how fast it moves.
 	ownLeast, ownMost, ownStep = 1.5, 8.0, 0.1
 	// maxStrikes bounds the doubling of a bad server's hold.
 	maxStrikes = 5
-	// againShare is the further attempts that a served request earns, againMost what may be
-	// saved up, and what an agent starts with.
+	// againShare is the further attempts that a served request earns, againMost the most saved up.
 	againShare, againMost = 0.25, 4.0
 	// shedMemory is the number of tries by which an agent knows what part of them is served
 	// in time; under 1/shedFactor of them it refuses some, never more than shedMost.
@@ -994,7 +988,7 @@
 	s, since := b.byAddr[e.Server], min(finite(e.SinceMs), b.now)
 	if s == nil {
 		s = &server{id: e.Server, hash: mix(hashAddr(e.Server)), state: Unknown, since: b.now,
-			window: max(firstWindow, 8/float64(max(b.set.Replicas, 1))), startedAt: since, listedAt: since}
+			window: firstWindow, startedAt: since, listedAt: since}
 		b.byAddr[s.id] = s
 		s.credit = b.rng.Float64()
 		i, _ := slices.BinarySearchFunc(b.servers, s, func(x, y *server) int {
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -1248,3 +1248,37 @@
 		t.Errorf("of three agents, whose windows follow it, one leaves a server alone for %.1f turns", turns)
 	}
 }
+
+// r8b552c: answers that got lost were learned as answers of twice the aim, and windows shrank
+// to one or two attempts while servers had nothing to do.
+func TestLostAnswerTellsNothingOfItsServer(t *testing.T) {
+	r := newRig(t, testSettings(), 1)
+	srv := r.b.servers[0]
+	serve := func(n int, rtt float64) {
+		for range n {
+			id, s := r.sent(0, r.b.rng.Uint64())
+			r.now += rtt
+			r.outcome(id, 0, s, OK, rtt)
+		}
+	}
+	serve(learnFor, 20)
+	lost, _ := r.sent(0, 1)
+	serve(28, 20) // 560 ms of the 600 that the request has
+	window, lat, over := srv.window, srv.lat, r.b.over
+	r.now += 20
+	r.outcome(lost, 0, srv.id, Timeout, 580)
+	if srv.window < window || srv.lat != lat || r.b.over != over || srv.restUntil > r.now || srv.state != Connected {
+		t.Errorf("window %v to %v, lat %v to %v, crowd %v to %v, rests till %v at %v, state %d", window, srv.window,
+			lat, srv.lat, over, r.b.over, srv.restUntil, r.now, srv.state)
+	}
+
+	// Where others are slow as well, it is a crowd's.
+	slow, _ := r.sent(0, 1)
+	serve(4, 145)
+	lat = srv.lat
+	r.now += 20
+	r.outcome(slow, 0, srv.id, Timeout, 600)
+	if srv.lat <= lat || srv.restUntil <= r.now {
+		t.Errorf("a crowd: lat %v to %v, rests till %v at %v", lat, srv.lat, srv.restUntil, r.now)
+	}
+}
--- a/policy/state.go
+++ b/policy/state.go
@@ -1,6 +1,7 @@
 package policy
 
 import (
+	"encoding/binary"
 	"math/rand/v2"
 	"slices"
 )
@@ -259,11 +260,7 @@
 }
 
 func hashAddr(a Addr) uint64 {
-	h := uint64(0)
-	for _, x := range a {
-		h = h<<8 | uint64(x)
-	}
-	return h
+	return uint64(binary.BigEndian.Uint32(a[:]))<<16 | uint64(binary.BigEndian.Uint16(a[4:]))
 }
 
 // mix is the finalizer of splitmix64.
