Let few agents begin with larger windows

Ruled out: calm learned later than it could be (25 answers instead of 50: no gain). A server's two cores work on six requests at once, which wait for others for two thirds of their time: of two agents each may begin with four, of four and more with two as before. Settings tell the number of agents.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -23,8 +23,9 @@
 	calmSamples = 8
 	// lostAfter is how many answer times of its server make an overtaken attempt a lost one.
 	lostAfter = 6.0
-	// firstWindow is the number of attempts an unmeasured server may hold.
-	firstWindow = 2.0
+	// firstWindow is what an unmeasured server may hold of one of many agents, firstShare of
+	// all of few: on two cores it works on six at once, as requests wait for others meanwhile.
+	firstWindow, firstShare = 2, 8
 	// learnFor is the number of answers that first measure calm; until then no window grows.
 	learnFor = 50
 	// leastWindow is left to a server however crowded it is: enough to see when it is not.
@@ -988,7 +989,8 @@
 	s, since := b.byAddr[e.Server], min(finite(e.SinceMs), b.now)
 	if s == nil {
 		s = &server{id: e.Server, hash: mix(hashAddr(e.Server)), state: Unknown, since: b.now,
-			window: firstWindow, startedAt: since, listedAt: since}
+			startedAt: since, listedAt: since}
+		s.window = float64(max(firstWindow, firstShare/max(b.set.Replicas, 1)))
 		b.byAddr[s.id] = s
 		s.credit = b.rng.Float64()
 		i, _ := slices.BinarySearchFunc(b.servers, s, func(x, y *server) int {
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -1249,6 +1249,18 @@
 	}
 }
 
+// Of few agents each sees most of what comes: where two share the servers, windows for one
+// of many refused half of the first second (bulk+slow+pieces).
+func TestFewAgentsBeginWithLargerWindows(t *testing.T) {
+	for replicas, want := range map[int]float64{0: 8, 1: 8, 2: 4, 4: 2, 80: 2} {
+		set := testSettings()
+		set.Replicas = replicas
+		if w := newRig(t, set, 1).b.servers[0].window; w != want {
+			t.Errorf("%d agents: window %v, want %v", replicas, w, want)
+		}
+	}
+}
+
 // r8b552c: answers that got lost were learned as answers of twice the aim, and windows shrank
 // to one or two attempts while servers had nothing to do.
 func TestLostAnswerTellsNothingOfItsServer(t *testing.T) {
