--- a/policy/policy.go
+++ b/policy/policy.go
@@ -14,8 +14,7 @@
 	// capFactor is c: how far above its even share of the agent's attempts a
 	// server may go before a key's request moves on to the next in hash order.
 	capFactor = 3.0
-	// crowdShare is the part of the aim that a server's mean answer time may
-	// take before the agent gives it less: the rest is for the spread.
+	// crowdShare is the part of the aim that a mean answer may take: the rest is for the spread.
 	crowdShare = 0.5
 	// crowdFactor is how many times the fleet's calm answer time a server's mean may be
 	// before it counts as crowded: enough to keep its cores busy, too little to tip it.
@@ -24,29 +23,25 @@
 	calmSamples = 8
 	// lostAfter is how many answer times of its server make an overtaken attempt a lost one.
 	lostAfter = 6.0
-	// firstWindow is the number of attempts an unmeasured server may hold.
-	firstWindow = 2.0
-	// learnFor is the number of answers that make the first measure of calm; until
-	// then no window grows, so that a start does not crowd what it measures.
+	// firstWindow is what an unmeasured server may hold of one of many agents, firstShare of
+	// all of few: on two cores it works on six at once, as requests wait for others meanwhile.
+	firstWindow, firstShare = 2, 8
+	// learnFor is the number of answers that first measure calm; until then no window grows.
 	learnFor = 50
-	// leastWindow is what is left to a server however crowded it is: enough to see
-	// when it is not.
+	// leastWindow is left to a server however crowded it is: enough to see when it is not.
 	leastWindow, tipFactor = 0.1, 2.5
-	// keyWait is the part of its aim that a request may wait for one of the
-	// keyServers nearest its key: going on at once would lose the warm key and
-	// warm it up elsewhere, just when servers are short of time.
+	// keyWait is the part of its aim that a request may wait for one of the keyServers nearest
+	// its key: going on at once would lose the warm key, just when servers are short of time.
 	keyWait, keyServers = 0.25, 2
-	// keyPart is the most of a server's even share that one part of a key may bring: the
-	// sum over parts is what makes servers unequal. keyMemory is the number of requests,
-	// for each part there may be, by which a key's share is known.
+	// keyPart is the most of a server's even share that one part of a key may bring, keyMemory
+	// the number of requests, for each part there may be, by which a key's share is known.
 	keyPart, keyMemory = 0.25, 2.0
 	// ownLeast and ownMost bound how much more a server of the agent's own zone weighs in a
 	// key's order: crossing takes time and may have a price. ownStep is how fast it moves.
 	ownLeast, ownMost, ownStep = 1.5, 8.0, 0.1
 	// maxStrikes bounds the doubling of a bad server's hold.
 	maxStrikes = 5
-	// againShare is the further attempts that a served request earns, againMost what may be
-	// saved up, and what an agent starts with.
+	// againShare is the further attempts that a served request earns, againMost the most saved up.
 	againShare, againMost = 0.25, 4.0
 	// shedMemory is the number of tries by which an agent knows what part of them is served
 	// in time; under 1/shedFactor of them it refuses some, never more than shedMost.
@@ -403,18 +398,23 @@
 	return float64(b.holds(s)) < math.Ceil(capFactor*float64(b.inflight+1)*share) && b.hasRoom(s, r)
 }
 
-// holds is the number of attempts that a server is at work on: one that was overtaken by
-// answers to later ones for several answer times is lost, and keeps no room till its end.
+// holds is the number of attempts that a server is at work on: a lost one keeps no room.
 func (b *Balancer) holds(s *server) int {
 	n := len(s.out)
 	for _, a := range s.out {
-		if t := lostAfter * max(a.r.class.expect, s.rtt); b.now-a.sentAt > t && s.heard-a.sentAt > t/2 {
+		if b.overtaken(a) {
 			n--
 		}
 	}
 	return n
 }
 
+// overtaken tells whether its server has answered later ones for several answer times.
+func (b *Balancer) overtaken(a *attempt) bool {
+	t := lostAfter * max(a.r.class.expect, a.s.rtt)
+	return b.now-a.sentAt > t && a.s.heard-a.sentAt > t/2
+}
+
 // hasRoom bounds what a server holds of this agent: its window, one at a time
 // until it is validated, and a cold server's credit.
 func (b *Balancer) hasRoom(s *server, r *request) bool {
@@ -708,8 +708,11 @@
 			s.lostAt = b.now
 		}
 	case Timeout:
-		// A server that answered others meanwhile is not to blame for a costly
-		// request; it counts as slow.
+		// Overtaken at a server that answers well, its answer was lost and tells nothing.
+		// A server that answered others meanwhile is not to blame, and counts as slow.
+		if s.lat <= b.limit(s) && b.overtaken(a) {
+			break
+		}
 		b.weighZone(s, true)
 		b.rest(s, 1)
 		if s.heard > a.sentAt {
@@ -986,7 +989,8 @@
 	s, since := b.byAddr[e.Server], min(finite(e.SinceMs), b.now)
 	if s == nil {
 		s = &server{id: e.Server, hash: mix(hashAddr(e.Server)), state: Unknown, since: b.now,
-			window: firstWindow, startedAt: since, listedAt: since}
+			startedAt: since, listedAt: since}
+		s.window = float64(max(firstWindow, firstShare/max(b.set.Replicas, 1)))
 		b.byAddr[s.id] = s
 		s.credit = b.rng.Float64()
 		i, _ := slices.BinarySearchFunc(b.servers, s, func(x, y *server) int {
