Take an answer for lost only where its server had several other attempts since

There an agent sees a server once in some seconds: its mean answer time is old when the server has tipped or fallen silent, and the time-out was the only news. Ruled out: the larger first windows, which 80 agents do not have. The attempts to a server come `gap` apart; calmSamples of them since tell how it answers.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -708,9 +708,9 @@
 			s.lostAt = b.now
 		}
 	case Timeout:
-		// Overtaken at a server that answers well, its answer was lost and tells nothing.
-		// A server that answered others meanwhile is not to blame, and counts as slow.
-		if s.lat <= b.limit(s) && b.overtaken(a) {
+		// Overtaken at a server that is known to answer well since, its answer was lost and tells
+		// nothing. A server that answered others meanwhile is not to blame, and counts as slow.
+		if s.lat <= b.limit(s) && b.overtaken(a) && b.now-a.sentAt > calmSamples*s.gap {
 			break
 		}
 		b.weighZone(s, true)
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -1284,6 +1284,22 @@
 			lat, srv.lat, over, r.b.over, srv.restUntil, r.now, srv.state)
 	}
 
+	// A few others are no evidence: of many agents each sees a server too seldom to know how it
+	// answers now (zone+vast).
+	rare, _ := r.sent(0, 1)
+	for range 3 {
+		r.now += 160
+		serve(1, 20)
+	}
+	lat = srv.lat
+	r.now += 40
+	r.outcome(rare, 0, srv.id, Timeout, 580)
+	if srv.lat <= lat || srv.restUntil <= r.now {
+		t.Errorf("seldom seen: lat %v to %v, rests till %v at %v", lat, srv.lat, srv.restUntil, r.now)
+	}
+	r.now = srv.restUntil
+	serve(20, 20)
+
 	// Where others are slow as well, it is a crowd's.
 	slow, _ := r.sent(0, 1)
 	serve(4, 145)
