--- a/internal/agent/config.go
+++ b/internal/agent/config.go
@@ -9,6 +9,7 @@
 	"os"
 	"strconv"
 
+	"clayproxy.example/clayproxy/internal/events"
 	"clayproxy.example/clayproxy/internal/wire"
 	"clayproxy.example/clayproxy/policy"
 )
@@ -25,7 +26,7 @@
 	MemoryMB   int
 	Sockets    int
 	Known      List
-	Settings   policy.Settings
+	Settings   events.Settings
 	Zones      []string // names of zones and of machine kinds, by the number the module knows
 	Kinds      []string
 
--- a/internal/agent/discovery.go
+++ b/internal/agent/discovery.go
@@ -14,7 +14,7 @@
 
 	"golang.org/x/time/rate"
 
-	"clayproxy.example/clayproxy/policy"
+	"clayproxy.example/clayproxy/internal/events"
 )
 
 // List is discovery's answer: the whole list or what changed.
@@ -225,7 +225,7 @@
 type table struct {
 	zones, kinds map[string]int
 	byID         map[string]*backend
-	byAddr       map[policy.Addr]*backend
+	byAddr       map[events.Addr]*backend
 }
 
 func newTable(zones, kinds []string) *table {
@@ -237,7 +237,7 @@
 		return m
 	}
 	return &table{zones: index(zones), kinds: index(kinds),
-		byID: map[string]*backend{}, byAddr: map[policy.Addr]*backend{}}
+		byID: map[string]*backend{}, byAddr: map[events.Addr]*backend{}}
 }
 
 // backend finds or makes the entry of an id. The module's name comes from the
@@ -264,7 +264,7 @@
 
 // apply takes a list into the table and returns the module's entries, the
 // addresses whose idle connections are of no more use, and the backends gone.
-func (t *table) apply(l *List, full bool) (entries []policy.Entry, stale []string, gone []*backend) {
+func (t *table) apply(l *List, full bool) (entries []events.Entry, stale []string, gone []*backend) {
 	named := make(map[string]bool, len(l.Servers))
 	for i := range l.Servers {
 		s := &l.Servers[i]
@@ -272,7 +272,7 @@
 			continue
 		}
 		named[s.ID] = true
-		e := policy.Entry{Zone: len(t.zones), Kind: len(t.kinds), Cell: s.Cell, SinceMs: s.StartedMs, Weight: s.Weight}
+		e := events.Entry{Zone: len(t.zones), Kind: len(t.kinds), Cell: s.Cell, SinceMs: s.StartedMs, Weight: s.Weight}
 		if z, ok := t.zones[s.Zone]; ok {
 			e.Zone = z
 		}
@@ -281,11 +281,11 @@
 		}
 		switch s.State {
 		case "up":
-			e.Health = policy.Ready
+			e.Health = events.Ready
 		case "removed":
-			e.Health = policy.Gone
+			e.Health = events.Gone
 		default: // draining, and whatever else is not said to be up
-			e.Health = policy.Draining
+			e.Health = events.Draining
 		}
 		b := t.backend(s.ID)
 		e.Server = b.name
@@ -293,10 +293,10 @@
 			stale = append(stale, b.addr)
 			b.addr = s.Addr
 		}
-		if b.closed.Store(e.Health != policy.Ready); e.Health != policy.Ready {
+		if b.closed.Store(e.Health != events.Ready); e.Health != events.Ready {
 			stale = append(stale, b.addr)
 		}
-		if b.gone = e.Health == policy.Gone; b.gone {
+		if b.gone = e.Health == events.Gone; b.gone {
 			gone = append(gone, b)
 		}
 		entries = append(entries, e)
--- a/internal/agent/loop.go
+++ b/internal/agent/loop.go
@@ -15,6 +15,7 @@
 
 	"golang.org/x/time/rate"
 
+	"clayproxy.example/clayproxy/internal/events"
 	"clayproxy.example/clayproxy/policy"
 )
 
@@ -48,11 +49,11 @@
 	inbox    chan func()
 	started  time.Time // the clock's base: wall time, then monotonic
 	baseMs   float64
-	nextID   policy.RequestID
-	requests map[policy.RequestID]*request
+	nextID   events.RequestID
+	requests map[events.RequestID]*request
 	open     int // requests that have no answer yet
-	pending  []policy.Event
-	actions  []policy.Action
+	pending  []events.Event
+	actions  []events.Action
 	version  uint64 // of the list
 	watching bool
 	fetching bool
@@ -66,9 +67,9 @@
 	// broken counts answers that were begun and not passed on whole.
 	broken int
 	// ends counts the attempts by how they ended.
-	ends map[policy.Status]int
+	ends map[events.Status]int
 	// probes counts the probes by how they ended.
-	probes map[policy.Status]int
+	probes map[events.Status]int
 	// lists counts the answers of discovery, lines what they listed, and unlisted the
 	// calls that failed: over all agents, the load that discovery bears.
 	lists, lines, unlisted int
@@ -86,7 +87,7 @@
 	body         []byte    // as far as it is kept
 	long         *longBody // its rest, if there is more
 	timeout      time.Duration
-	rules        *policy.Rules // as they were when it came
+	rules        *events.Rules // as they were when it came
 	key          uint64
 	retry        bool
 	deadline     time.Time
@@ -113,7 +114,7 @@
 
 // request is a call in the loop, kept until it is answered and no attempt is out.
 type request struct {
-	id       policy.RequestID
+	id       events.RequestID
 	call     *call
 	answered bool
 	attempts []*attempt
@@ -129,7 +130,7 @@
 	cancel  context.CancelFunc
 	done    bool
 	sent    time.Time
-	end     policy.Status // once it is done
+	end     events.Status // once it is done
 	why     string
 	tookMs  float64
 }
@@ -144,8 +145,8 @@
 	l := &loop{cfg: &own, ctx: ctx, balancer: balancer, table: newTable(cfg.Zones, cfg.Kinds),
 		pool: newPool(cfg), logger: slog.Default(), limit: rate.NewLimiter(5, 50), lines: make(chan func(), 64), inbox: make(chan func(), 4096),
 		started: now, baseMs: float64(now.UnixMicro()) / 1000,
-		requests: map[policy.RequestID]*request{}, ready: ready,
-		figures: figures{ends: map[policy.Status]int{}, probes: map[policy.Status]int{}}}
+		requests: map[events.RequestID]*request{}, ready: ready,
+		figures: figures{ends: map[events.Status]int{}, probes: map[events.Status]int{}}}
 	l.disc = newDiscovery(cfg.Discovery, func(list *List, watch bool, err error) {
 		l.post(func() { l.onList(list, watch, err) })
 	})
@@ -165,7 +166,7 @@
 	go l.writeLog()
 	l.carryOut(l.balancer.Start(l.now(), l.actions[:0]))
 	// The list as last had comes with the start, however old, as at the simulator.
-	l.list(&l.cfg.Known, policy.ListCached, true)
+	l.list(&l.cfg.Known, events.ListCached, true)
 	l.drain()
 	if l.table.usable() {
 		l.ready()
@@ -199,7 +200,7 @@
 }
 
 // handle gives the module one event and carries out what it answers.
-func (l *loop) handle(ev *policy.Event) {
+func (l *loop) handle(ev *events.Event) {
 	l.carryOut(l.balancer.Handle(l.now(), ev, l.actions[:0]))
 }
 
@@ -213,49 +214,49 @@
 	l.pending = nil
 }
 
-func (l *loop) carryOut(actions []policy.Action) {
+func (l *loop) carryOut(actions []events.Action) {
 	l.actions = actions
 	for i := range actions {
 		a := &actions[i]
 		switch a.Kind {
-		case policy.ActSend:
+		case events.ActSend:
 			l.send(a)
-		case policy.ActCancel:
+		case events.ActCancel:
 			if r := l.requests[a.Request]; r != nil && a.Attempt >= 0 && a.Attempt < len(r.attempts) {
 				if t := r.attempts[a.Attempt]; !t.done && t.cancel != nil {
 					t.cancel()
 				}
 			}
-		case policy.ActRefuse:
+		case events.ActRefuse:
 			if r := l.requests[a.Request]; r != nil {
 				l.refuse(r, a.Ms)
 			}
-		case policy.ActFail:
+		case events.ActFail:
 			if r := l.requests[a.Request]; r != nil {
 				l.finish(r, answer{verdict: failed, unfit: r.unfit})
 			}
-		case policy.ActTimer:
+		case events.ActTimer:
 			token := a.Token
 			time.AfterFunc(ms(a.Ms), func() {
-				l.post(func() { l.handle(&policy.Event{Kind: policy.EvTimer, Token: token}) })
+				l.post(func() { l.handle(&events.Event{Kind: events.EvTimer, Token: token}) })
 			})
-		case policy.ActFollow:
+		case events.ActFollow:
 			if !l.watching { // one watch is enough; it tells what another would
 				l.watching = true
 				go l.disc.watch(l.ctx, l.version)
 			}
-		case policy.ActFetch:
+		case events.ActFetch:
 			if !l.fetching {
 				l.fetching = true
 				go l.disc.fetch(l.ctx)
 			}
-		case policy.ActClose:
+		case events.ActClose:
 			if b := l.table.byAddr[a.Server]; b != nil {
 				l.pool.hangUp(b.addr)
 			}
-		case policy.ActLog:
+		case events.ActLog:
 			l.log(slog.LevelInfo, "module", "text", a.Text)
-		case policy.ActProbe:
+		case events.ActProbe:
 			l.probe(a.Server)
 		}
 	}
@@ -281,7 +282,7 @@
 		l.post(func() { l.late(r) })
 	})
 	left -= min(moduleMargin, left/8)
-	l.handle(&policy.Event{Kind: policy.EvRequest, Request: r.id, Rules: c.rules,
+	l.handle(&events.Event{Kind: events.EvRequest, Request: r.id, Rules: c.rules,
 		Key: c.key, LeftMs: float64(left.Microseconds()) / 1000, Retry: c.retry, Long: c.long != nil})
 	return r
 }
@@ -297,7 +298,7 @@
 	c.came, c.deadline = time.Now(), time.Now().Add(c.timeout)
 	r.backstop.Reset(c.timeout - min(backstopMargin, c.timeout/16))
 	left := c.timeout - min(moduleMargin, c.timeout/8)
-	l.handle(&policy.Event{Kind: policy.EvWritten, Request: r.id, Attempt: index,
+	l.handle(&events.Event{Kind: events.EvWritten, Request: r.id, Attempt: index,
 		LeftMs: float64(left.Microseconds()) / 1000})
 }
 
@@ -368,14 +369,14 @@
 			t.cancel()
 		}
 	}
-	l.handle(&policy.Event{Kind: policy.EvDropped, Request: r.id})
+	l.handle(&events.Event{Kind: events.EvDropped, Request: r.id})
 }
 
 // refuse answers that a retry is harmless, unless an attempt may have run that
 // makes it harmful: then the request has failed.
 func (l *loop) refuse(r *request, afterMs float64) {
 	c := r.call.rules
-	if r.mayRun > 0 && (c.Effect == policy.SingleShot || c.Effect == policy.Guarded && c.Group != policy.GroupAll) {
+	if r.mayRun > 0 && (c.Effect == events.SingleShot || c.Effect == events.Guarded && c.Group != events.GroupAll) {
 		l.guard("refusal after an attempt that may have run", "id", r.call.id)
 		l.finish(r, answer{verdict: failed})
 		return
@@ -422,7 +423,7 @@
 
 // ---- attempts ----
 
-func (l *loop) send(a *policy.Action) {
+func (l *loop) send(a *events.Action) {
 	r := l.requests[a.Request]
 	if r == nil {
 		// The request is over and forgotten: nothing can be sent, or counted.
@@ -444,9 +445,9 @@
 	}
 	if why := l.forbidden(r, b, now, until); why != "" {
 		l.guard(why, "id", r.call.id)
-		t.done, t.end, t.why = true, policy.Moot, why
-		l.pending = append(l.pending, policy.Event{Kind: policy.EvOutcome, Request: r.id, Attempt: index,
-			Server: a.Server, Status: policy.Moot, Final: r.answered})
+		t.done, t.end, t.why = true, events.Moot, why
+		l.pending = append(l.pending, events.Event{Kind: events.EvOutcome, Request: r.id, Attempt: index,
+			Server: a.Server, Status: events.Moot, Final: r.answered})
 		return
 	}
 	r.writing = long
@@ -467,10 +468,10 @@
 
 // probe validates a backend in the background. The module waits for one end of each
 // probe, so one that can't be sent has ended too.
-func (l *loop) probe(name policy.Addr) {
+func (l *loop) probe(name events.Addr) {
 	b := l.table.byAddr[name]
 	if b == nil || b.addr == "" || b.closed.Load() || !l.cfg.Settings.Limits.Probing {
-		l.pending = append(l.pending, policy.Event{Kind: policy.EvProbed, Server: name, Status: policy.Moot})
+		l.pending = append(l.pending, events.Event{Kind: events.EvProbed, Server: name, Status: events.Moot})
 		return
 	}
 	b.out++
@@ -485,10 +486,10 @@
 func (l *loop) probed(b *backend, res *result) {
 	b.out--
 	l.figures.probes[res.status]++
-	if res.status != policy.OK {
+	if res.status != events.OK {
 		l.log(slog.LevelInfo, "probe failed", "backend", b.id, "ended", res.status, "why", res.why)
 	}
-	l.handle(&policy.Event{Kind: policy.EvProbed, Server: b.name, Status: res.status,
+	l.handle(&events.Event{Kind: events.EvProbed, Server: b.name, Status: res.status,
 		LatencyMs: res.latencyMs})
 	l.table.forget(b)
 }
@@ -509,7 +510,7 @@
 		return "more attempts than allowed"
 	case r.call.long.spent():
 		return "repeat of a body that was not kept"
-	case r.mayRun > 0 && c.Effect == policy.SingleShot:
+	case r.mayRun > 0 && c.Effect == events.SingleShot:
 		return "repeat of an unsafe request that may have run"
 	case !until.After(now):
 		return "attempt without time"
@@ -527,18 +528,18 @@
 	if res.status.NeverRan() {
 		r.mayRun--
 	}
-	r.unfit = res.status == policy.Unfit
+	r.unfit = res.status == events.Unfit
 	r.writing = false
 	switch {
 	case r.answered:
 		res.body.end()
-	case res.status == policy.OK:
+	case res.status == events.OK:
 		l.finish(r, answer{verdict: served, header: res.header, body: res.body})
 	case res.client != nil:
 		// No more of the request comes, so it is none, and no backend has it whole.
 		l.finish(r, answer{verdict: failed, unfit: true})
 	}
-	l.handle(&policy.Event{Kind: policy.EvOutcome, Request: r.id, Attempt: index, Server: t.backend.name,
+	l.handle(&events.Event{Kind: events.EvOutcome, Request: r.id, Attempt: index, Server: t.backend.name,
 		Status: res.status, LatencyMs: res.latencyMs, Final: r.answered, Spent: r.call.long.spent()})
 	if r.answered && r.out == 0 {
 		delete(l.requests, r.id)
@@ -583,7 +584,7 @@
 		if watch {
 			l.watching = false
 		}
-		l.handle(&policy.Event{Kind: policy.EvList, List: policy.ListFailed})
+		l.handle(&events.Event{Kind: events.EvList, List: events.ListFailed})
 		return
 	}
 	l.figures.lists++
@@ -593,9 +594,9 @@
 	if list.Version < l.version && !(watch && list.Full) {
 		return
 	}
-	kind := policy.ListDelta
+	kind := events.ListDelta
 	if list.Full {
-		kind = policy.ListFull
+		kind = events.ListFull
 	}
 	l.list(list, kind, list.Full)
 	if l.table.usable() {
@@ -606,13 +607,13 @@
 // pushed tells whether changes of the list come without the module's asking.
 func (l *loop) pushed() bool { return l.cfg.Settings.Membership == "pushed" }
 
-func (l *loop) list(list *List, kind policy.ListKind, full bool) {
+func (l *loop) list(list *List, kind events.ListKind, full bool) {
 	l.version = list.Version
 	entries, stale, gone := l.table.apply(list, full)
 	for _, addr := range stale {
 		l.pool.hangUp(addr)
 	}
-	l.handle(&policy.Event{Kind: policy.EvList, List: kind, Entries: entries})
+	l.handle(&events.Event{Kind: events.EvList, List: kind, Entries: entries})
 	for _, b := range gone {
 		l.table.forget(b)
 	}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -1,6 +1,6 @@
-// This file holds every decision. Its interface, the settings, events, actions
-// and states, is in policy/types.go.
-
+// Package policy decides where each request of one agent's client goes: which server, when,
+// for how long, whether again, when to give up. Without I/O, clock or goroutines, it takes
+// events with a time and gives back actions in order, in the words of package events.
 package policy
 
 import (
@@ -8,6 +8,8 @@
 	"math"
 	"math/rand/v2"
 	"slices"
+
+	. "clayproxy.example/clayproxy/internal/events"
 )
 
 const (
@@ -90,7 +92,7 @@
 // Retune puts settings in force, or returns an error that names the one that makes no sense.
 // What was learned stays, and requests that are open keep their classes' rules.
 func (b *Balancer) Retune(set Settings) error {
-	if err := set.validate(); err != nil {
+	if err := set.Validate(); err != nil {
 		return err
 	}
 	var classes []*class
@@ -114,7 +116,7 @@
 // for what is finished or unknown are ignored.
 func (b *Balancer) Handle(now float64, event *Event, out []Action) []Action {
 	b.now, b.out = now, out
-	ev := event.finite()
+	ev := event.Finite()
 	switch ev.Kind {
 	case EvRequest:
 		b.onRequest(ev)
@@ -168,12 +170,10 @@
 	}
 }
 
-// ---- requests ----
-
 func (b *Balancer) onRequest(ev *Event) {
 	rules := ev.Rules
 	if rules == nil && ev.Class >= 0 && ev.Class < len(b.classes) {
-		rules = &Rules{b.set.Classes[ev.Class], b.set.Limits.MaxAttempts}
+		rules = &Rules{Class: b.set.Classes[ev.Class], MaxAttempts: b.set.Limits.MaxAttempts}
 	}
 	if rules == nil || b.requests[ev.Request] != nil {
 		return
@@ -201,7 +201,6 @@
 	if b.rng.Float64() < b.shed() {
 		b.gain(0)
 		b.end(r)
-		return
 	}
 }
 
@@ -304,8 +303,6 @@
 	}
 }
 
-// ---- the pick: tiers, then the capped key hash ----
-
 // rank is the server's tier for the request.
 func (b *Balancer) rank(s *server, r *request) int {
 	switch s.state {
@@ -487,8 +484,6 @@
 	return 1
 }
 
-// ---- the two guards ----
-
 // maySend is the guard of all attempts: rules 2, 3 and the limits. Rule 4 is in
 // hasRoom, whose credit every attempt to a cold server is charged in send.
 func (b *Balancer) maySend(r *request, s *server) bool {
@@ -624,8 +619,6 @@
 	}
 }
 
-// ---- outcomes and health ----
-
 func (b *Balancer) onOutcome(ev *Event) {
 	a := b.attemptOf(ev)
 	if a == nil {
@@ -933,8 +926,6 @@
 	}
 }
 
-// ---- the list ----
-
 // refetch asks for the whole list, seldom: the stream of changes is as fresh. Where discovery
 // is asked there is no other call: at one bad server's first failures all agents would ask,
 // and their whole lists keep discovery from the calls that bring changes.
@@ -986,15 +977,15 @@
 }
 
 func (b *Balancer) update(e *Entry) {
-	s, since := b.byAddr[e.Server], min(finite(e.SinceMs), b.now)
+	s, since := b.byAddr[e.Server], min(Finite(e.SinceMs), b.now)
 	if s == nil {
-		s = &server{id: e.Server, hash: mix(hashAddr(e.Server)), state: Unknown, since: b.now,
+		s = &server{id: e.Server, hash: mix(e.Server.Uint64()), state: Unknown, since: b.now,
 			startedAt: since, listedAt: since}
 		s.window = float64(max(firstWindow, firstShare/max(b.set.Replicas, 1)))
 		b.byAddr[s.id] = s
 		s.credit = b.rng.Float64()
 		i, _ := slices.BinarySearchFunc(b.servers, s, func(x, y *server) int {
-			return cmp.Compare(hashAddr(x.id), hashAddr(y.id))
+			return cmp.Compare(x.id.Uint64(), y.id.Uint64())
 		})
 		b.servers = slices.Insert(b.servers, i, s)
 	}
@@ -1008,7 +999,7 @@
 		s.credit = b.rng.Float64()
 	}
 	s.zone, s.cell, s.usable = e.Zone, e.Cell, e.Health == Ready
-	if s.weight = finite(e.Weight); s.weight <= 0 {
+	if s.weight = Finite(e.Weight); s.weight <= 0 {
 		s.weight = 1
 	}
 }
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -1,6 +1,7 @@
 package policy
 
 import (
+	. "clayproxy.example/clayproxy/internal/events"
 	"fmt"
 	"math"
 	"testing"
--- a/policy/state.go
+++ b/policy/state.go
@@ -1,9 +1,10 @@
 package policy
 
 import (
-	"encoding/binary"
 	"math/rand/v2"
 	"slices"
+
+	. "clayproxy.example/clayproxy/internal/events"
 )
 
 // This file holds what a Balancer remembers and plain arithmetic on it; the
@@ -189,9 +190,7 @@
 	if !b.set.Clients.MarksRetry {
 		return
 	}
-	b.pasts = slices.DeleteFunc(b.pasts, func(p past) bool {
-		return b.now > p.until
-	})
+	b.pasts = slices.DeleteFunc(b.pasts, func(p past) bool { return b.now > p.until })
 	if len(b.pasts) < maxHeld {
 		b.pasts = append(b.pasts, past{r.class.Name, r.key, r.first, r.first + r.class.GiveUpMs})
 	}
@@ -259,10 +258,6 @@
 	return old + weight*(x-old)
 }
 
-func hashAddr(a Addr) uint64 {
-	return uint64(binary.BigEndian.Uint32(a[:]))<<16 | uint64(binary.BigEndian.Uint16(a[4:]))
-}
-
 // mix is the finalizer of splitmix64.
 func mix(x uint64) uint64 {
 	x += 0x9e3779b97f4a7c15
@@ -270,3 +265,13 @@
 	x = (x ^ x>>27) * 0x94d049bb133111eb
 	return x ^ x>>31
 }
+
+// View sums up the moment, for the log.
+func (b *Balancer) View() View {
+	v := View{Held: len(b.held), InFlight: b.inflight, Shed: b.shed(), Room: b.room, Over: b.over}
+	for _, s := range b.servers {
+		v.States[s.state]++
+		v.Window += s.window
+	}
+	return v
+}
