Judge eleven more tests of the module from outside, by the view's counts

Change: state, full, probes, guarded cells, hung and cold servers, single shot against pending servers, the own zone, demotions without a list call, streams and unfit requests now run in internal/policytest. They read the states through View's counts and where requests go, and bring servers into a state by events (errors, silence, the lapse of a hold) instead of setting it. The rig's keys are the module's own now: a key asked often is split, so the tests that need a key to stay use fresh ones, as a busy agent would see them. They fail when Full demotes (TestFullDemotesNobody) and when a single-shot request may check a pending server (TestSingleShotDoesNotCheckAServer), both tried.

--- a/internal/policytest/scenario_test.go
+++ b/internal/policytest/scenario_test.go
@@ -499,3 +499,270 @@
 		t.Errorf("%d attempts out at ease, %d when answers take a fifth longer", ease, busy)
 	}
 }
+
+// states is the number of listed servers in each state, best first.
+func (r *rig) states() [4]int { return r.b.View().States }
+
+// warm serves n requests of keys never seen again, each in ms, so that the agent knows its
+// servers a little and takes keys for one of many.
+func (r *rig) warm(n int, ms float64) {
+	r.t.Helper()
+	for range n {
+		id, s := r.sent(0, r.rng.Uint64()|1)
+		r.now += ms
+		r.outcome(id, 0, s, OK, ms)
+	}
+}
+
+// hold is how long a server that failed once is left alone: the shortest aim (DESIGN:
+// a demoted server returns by validation or a bounded lapse).
+func (r *rig) hold() float64 {
+	least := math.Inf(1)
+	for _, c := range r.set.Classes {
+		least = min(least, c.AimMs)
+	}
+	return least
+}
+
+func TestStateTransitions(t *testing.T) {
+	r := newRig(t, testSettings(), 4)
+	if got := r.states(); got != [4]int{0, 4, 0, 0} {
+		t.Fatalf("listed servers start as %v, want all Unknown", got)
+	}
+	id, s := r.sent(0, 7)
+	r.now += 50
+	r.outcome(id, 0, s, OK, 50)
+	if got := r.states(); got != [4]int{1, 3, 0, 0} {
+		t.Fatalf("served: %v, want one Connected", got)
+	}
+	id, s2 := r.sent(0, 7)
+	if s2 != s {
+		t.Fatalf("key moved from %v to %v without a cause", s, s2)
+	}
+	actions := r.outcome(id, 0, s, Error, 5)
+	if got := r.states(); got[Unhealthy] != 1 || got[Connected] != 0 {
+		t.Fatalf("error: %v, want the server Unhealthy", got)
+	}
+	if find(actions, ActFetch) == nil {
+		t.Error("a demotion did not force a refresh of the list")
+	}
+	a := find(actions, ActSend)
+	if a == nil || a.Server == s {
+		t.Fatalf("the free request did not go on to another server: %+v", actions)
+	}
+	r.now += 5
+	r.outcome(id, 1, a.Server, OK, 5)
+	// While it is Unhealthy nothing goes there; after its hold the next request makes it
+	// pending and checks it, and a served answer makes it Connected.
+	for range 20 {
+		if id, to := r.sent(0, r.rng.Uint64()|1); to == s {
+			t.Fatal("an Unhealthy server was chosen before the better tier")
+		} else {
+			r.outcome(id, 0, to, OK, 1)
+		}
+	}
+	r.now += r.hold() + 1
+	for i := 0; ; i++ {
+		var to Addr
+		id, to = r.sent(0, r.rng.Uint64()|1)
+		if got := r.states(); got[UnhealthyPending] != 1 {
+			t.Fatalf("after the hold: %v, want it pending", got)
+		}
+		if to == s {
+			break
+		}
+		if r.outcome(id, 0, to, OK, 1); i > 50 {
+			t.Fatal("a server pending after its hold is never checked by a request")
+		}
+	}
+	r.now += 50
+	r.outcome(id, 0, s, OK, 50)
+	if got := r.states(); got != [4]int{4, 0, 0, 0} {
+		t.Fatalf("validated: %v, want it Connected", got)
+	}
+}
+
+func TestFullDemotesNobody(t *testing.T) {
+	r := newRig(t, testSettings(), 3)
+	id, s := r.sent(1, 7)
+	actions := r.outcome(id, 0, s, Full, 1)
+	if got := r.states(); got[Unhealthy]+got[UnhealthyPending] != 0 {
+		t.Errorf("full demoted the server: %v", got)
+	}
+	if a := find(actions, ActSend); a == nil || a.Server == s {
+		t.Errorf("a request that was turned away did not go elsewhere: %+v", actions)
+	}
+}
+
+func TestProbesValidateWhereAllowed(t *testing.T) {
+	set := testSettings()
+	set.Limits.Probing = true
+	r := newRig(t, set, 3)
+	id, s := r.sent(0, 7)
+	actions := r.outcome(id, 0, s, Error, 5)
+	if a := find(actions, ActSend); a != nil {
+		r.outcome(id, 1, a.Server, OK, 5)
+	}
+	r.now += 2 * r.hold()
+	_, actions = r.ask(0, 7)
+	if p := find(actions, ActProbe); p == nil || p.Server != s {
+		t.Fatalf("no probe of the pending server: %+v", actions)
+	}
+	if a := find(actions, ActSend); a == nil || a.Server == s {
+		t.Error("a request went to a pending server before its probe")
+	}
+	r.do(Event{Kind: EvProbed, Server: s, Status: Timeout, LatencyMs: 100})
+	if r.states()[Unhealthy] != 1 {
+		t.Errorf("a failed probe did not demote: %v", r.states())
+	}
+	r.now += 10 * r.hold()
+	r.ask(0, 8)
+	r.do(Event{Kind: EvProbed, Server: s, Status: OK, LatencyMs: 5})
+	if got := r.states(); got[Unhealthy]+got[UnhealthyPending] != 0 || got[Connected] == 0 {
+		t.Errorf("a good probe did not set Connected: %v", got)
+	}
+}
+
+// Servers i of the rig are in cell i%2.
+func TestGuardedStaysInItsGroupAndTime(t *testing.T) {
+	r := newRig(t, testSettings(), 6)
+	cell := func(a Addr) int { return int(a[3]) % 2 }
+	id, s := r.sent(2, 5)
+	actions := r.outcome(id, 0, s, Error, 20)
+	a := find(actions, ActSend)
+	if a == nil || cell(a.Server) != cell(s) {
+		t.Fatalf("a guarded repeat did not stay in its cell: %+v", actions)
+	}
+	r.now += 496 // just inside the 500 ms less the margin
+	actions = r.outcome(id, 1, a.Server, Error, 20)
+	if find(actions, ActSend) != nil || find(actions, ActFail) == nil && r.b.View().Held == 0 {
+		t.Errorf("a guarded repeat went out after its time: %+v", actions)
+	}
+}
+
+// Hung servers stay Connected in the source's scheme; silence demotes them.
+func TestHungServerIsLeft(t *testing.T) {
+	r := newRig(t, testSettings(), 4)
+	r.warm(200, 10) // learn what an answer takes
+	r.sent(0, 9)
+	for range 30 {
+		if r.tick(10); r.states()[Unhealthy] == 1 {
+			return
+		}
+	}
+	t.Error("a server that answers nothing for 300 ms was not demoted")
+}
+
+// i5d0607: a zone was lost and only cold servers were left.
+func TestColdServersServeWhenTheWarmOnesFailed(t *testing.T) {
+	r := newRig(t, testSettings(), 2)
+	r.warm(200, 10)
+	// The warm ones fall silent: what reaches them cannot connect. Then a cold one is listed.
+	for i := 0; r.states()[Unhealthy] < 2; i++ {
+		if i > 20 {
+			t.Fatalf("the warm servers were not left: %v", r.states())
+		}
+		r.now += 10
+		id, actions := r.ask(0, r.rng.Uint64()|1)
+		for try := 0; find(actions, ActSend) != nil; try++ {
+			actions = r.outcome(id, try, find(actions, ActSend).Server, ConnectFailed, 5)
+		}
+	}
+	r.now += 10
+	r.list(ListDelta, Entry{Server: addr(2), Health: Ready, Weight: 1, SinceMs: r.now})
+	if _, s := r.sent(0, 9); s != addr(2) {
+		t.Errorf("sent to %v, want the cold server", s)
+	}
+}
+
+// A request that must not run twice does not find out whether a pending server is back;
+// one that may run again does.
+func TestSingleShotDoesNotCheckAServer(t *testing.T) {
+	r := newRig(t, testSettings(), 4)
+	id, bad := r.sent(0, 7)
+	if a := find(r.outcome(id, 0, bad, Error, 5), ActSend); a != nil {
+		r.outcome(id, 1, a.Server, OK, 5)
+	}
+	free, once := 0, 0
+	for range 200 {
+		r.now += 16*r.hold() + 1 // past the longest hold: the next request makes it pending
+		for class, n := range []*int{&free, &once} {
+			id, s := r.sent(class, r.rng.Uint64()|1)
+			if s != bad {
+				r.outcome(id, 0, s, OK, 5)
+				continue
+			}
+			*n++
+			if a := find(r.outcome(id, 0, s, Error, 5), ActSend); a != nil {
+				r.outcome(id, 1, a.Server, OK, 5)
+			}
+		}
+	}
+	if free == 0 || once > 0 {
+		t.Errorf("a pending server was checked by %d free and %d single shot requests; want some and none", free, once)
+	}
+}
+
+func TestOwnZoneIsPreferredByKey(t *testing.T) {
+	r := newRig(t, testSettings(), 6) // zones 0 and 1 in turn; this agent is in 0
+	own, used, all := 0, map[Addr]bool{}, 600
+	for range all {
+		id, s := r.sent(0, r.rng.Uint64()|1)
+		r.outcome(id, 0, s, OK, 20)
+		used[s] = true
+		if s[3]%2 == 0 {
+			own++
+		}
+	}
+	if share := float64(own) / float64(all); share < 0.53 || share > 0.68 || len(used) != 6 {
+		t.Errorf("own zone got %.2f of the keys over %d servers, want about 0.6 over 6", share, len(used))
+	}
+}
+
+func TestDemotionAsksForNoListWhereChangesAreFollowed(t *testing.T) {
+	set := testSettings()
+	set.Membership = "on_request"
+	r := newRig(t, set, 4)
+	id, s := r.sent(0, 7)
+	if a := find(r.outcome(id, 0, s, Error, 5), ActFetch); a != nil {
+		t.Error("a demotion asked for the whole list")
+	}
+	if r.states()[Unhealthy] != 1 {
+		t.Errorf("the failure did not demote its server: %v", r.states())
+	}
+}
+
+func TestStartedStreamIsLeftAlone(t *testing.T) {
+	set := testSettings()
+	set.Classes[0].Streamed = true
+	r := newRig(t, set, 4)
+	id, s := r.sent(0, 3)
+	r.now += 30
+	r.do(Event{Kind: EvStarted, Request: id, Attempt: 0, Server: s, LatencyMs: 30})
+	for range 200 {
+		for _, a := range r.tick(10) {
+			if a.Request == id && a.Kind != ActTimer {
+				t.Fatalf("action %+v for a request whose answer streams", a)
+			}
+		}
+	}
+	actions := r.do(Event{Kind: EvOutcome, Request: id, Attempt: 0, Server: s, Status: Reset, LatencyMs: 2000, Final: true})
+	if v := r.b.View(); find(actions, ActSend) != nil || find(actions, ActFail) != nil || v.InFlight+v.Held != 0 {
+		t.Errorf("a stream that broke: %+v, %d in flight and %d held", actions, v.InFlight, v.Held)
+	}
+}
+
+func TestUnfitRequestFailsAndDemotesNobody(t *testing.T) {
+	for class, c := range testSettings().Classes {
+		r := newRig(t, testSettings(), 4)
+		id, s := r.sent(class, 7)
+		r.now += 5
+		actions := r.outcome(id, 0, s, Unfit, 5)
+		if f := find(actions, ActFail); f == nil || f.Request != id || len(actions) != 1 {
+			t.Errorf("%s: %+v, want one failure", c.Name, actions)
+		}
+		if v := r.b.View(); v.States != [4]int{0, 4, 0, 0} || v.InFlight+v.Held != 0 {
+			t.Errorf("%s: %+v, want all servers as they were and the request gone", c.Name, v)
+		}
+	}
+}
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -95,102 +95,6 @@
 	return r.do(Event{Kind: EvTimer, Token: tickToken})
 }
 
-func TestStateTransitions(t *testing.T) {
-	r := newRig(t, testSettings(), 4)
-	id, s := r.sent(0, 7)
-	srv := r.b.byAddr[s]
-	if srv.state != Unknown {
-		t.Fatalf("a listed server starts in state %d, want Unknown", srv.state)
-	}
-	r.now += 50
-	r.outcome(id, 0, s, OK, 50)
-	if srv.state != Connected {
-		t.Fatalf("served: state %d, want Connected", srv.state)
-	}
-	id, s2 := r.sent(0, 7)
-	if s2 != s {
-		t.Fatalf("key moved from %v to %v without a cause", s, s2)
-	}
-	actions := r.outcome(id, 0, s, Error, 5)
-	if srv.state != Unhealthy {
-		t.Fatalf("error: state %d, want Unhealthy", srv.state)
-	}
-	if find(actions, ActFetch) == nil {
-		t.Error("a demotion did not force a refresh of the list")
-	}
-	if a := find(actions, ActSend); a == nil || a.Server == s {
-		t.Errorf("the free request did not go on to another server: %+v", actions)
-	}
-	// While it is Unhealthy its key goes elsewhere; after its hold the next
-	// request makes it pending, and a served answer Connected.
-	if _, s3 := r.sent(0, 7); s3 == s {
-		t.Error("an Unhealthy server was chosen before the better tier")
-	}
-	r.now += r.b.holdFor(srv) + 1
-	id, s4 := r.sent(0, 7)
-	if srv.state != UnhealthyPending || s4 != s {
-		t.Fatalf("after the hold: state %d, sent to %v; want pending and the first send to check it", srv.state, s4)
-	}
-	r.now += 50
-	r.outcome(id, 0, s, OK, 50)
-	if srv.state != Connected {
-		t.Fatalf("validated: state %d, want Connected", srv.state)
-	}
-}
-
-func TestFullDemotesNobody(t *testing.T) {
-	r := newRig(t, testSettings(), 3)
-	id, s := r.sent(1, 7)
-	actions := r.outcome(id, 0, s, Full, 1)
-	if got := r.b.byAddr[s].state; got == Unhealthy {
-		t.Error("full demoted the server")
-	}
-	if a := find(actions, ActSend); a == nil || a.Server == s {
-		t.Errorf("a request that was turned away did not go elsewhere: %+v", actions)
-	}
-}
-
-func TestProbesValidateWhereAllowed(t *testing.T) {
-	set := testSettings()
-	set.Limits.Probing = true
-	r := newRig(t, set, 3)
-	id, s := r.sent(0, 7)
-	r.outcome(id, 0, s, Error, 5)
-	r.now += 2 * r.b.holdFor(r.b.byAddr[s])
-	_, actions := r.ask(0, 7)
-	if p := find(actions, ActProbe); p == nil || p.Server != s {
-		t.Fatalf("no probe of the pending server: %+v", actions)
-	}
-	if a := find(actions, ActSend); a == nil || a.Server == s {
-		t.Error("a request went to a pending server before its probe")
-	}
-	r.do(Event{Kind: EvProbed, Server: s, Status: Timeout, LatencyMs: 100})
-	if r.b.byAddr[s].state != Unhealthy {
-		t.Error("a failed probe did not demote")
-	}
-	r.now += 10 * r.b.holdFor(r.b.byAddr[s])
-	r.ask(0, 8)
-	r.do(Event{Kind: EvProbed, Server: s, Status: OK, LatencyMs: 5})
-	if r.b.byAddr[s].state != Connected {
-		t.Error("a good probe did not set Connected")
-	}
-}
-
-func TestGuardedStaysInItsGroupAndTime(t *testing.T) {
-	r := newRig(t, testSettings(), 6)
-	id, s := r.sent(2, 5)
-	actions := r.outcome(id, 0, s, Error, 20)
-	a := find(actions, ActSend)
-	if a == nil || r.b.byAddr[a.Server].cell != r.b.byAddr[s].cell {
-		t.Fatalf("a guarded repeat did not stay in its cell: %+v", actions)
-	}
-	r.now += 496 // just inside the 500 ms less the margin
-	actions = r.outcome(id, 1, a.Server, Error, 20)
-	if find(actions, ActSend) != nil || find(actions, ActFail) == nil && len(r.b.held) == 0 {
-		t.Errorf("a guarded repeat went out after its time: %+v", actions)
-	}
-}
-
 // A day with one agent and four servers: the first answers were quick (a few hot
 // keys), and what came after counted as crowded at one attempt a server, for good.
 func TestLoneAgentLearnsThatItsServersAreCalm(t *testing.T) {
@@ -250,24 +154,6 @@
 	}
 }
 
-// i5d0607: a zone was lost and only cold servers were left.
-func TestColdServersServeWhenTheWarmOnesFailed(t *testing.T) {
-	r := newRig(t, testSettings(), 2)
-	for range 200 {
-		r.now += 10
-		id, s := r.sent(0, uint64(r.b.rng.Int64()))
-		r.outcome(id, 0, s, OK, 20)
-	}
-	r.list(ListDelta, Entry{Server: addr(2), Health: Ready, Weight: 1, SinceMs: r.now})
-	r.b.byAddr[addr(2)].sentAt = 0
-	for i := range 2 {
-		r.b.demote(r.b.byAddr[addr(i)], true)
-	}
-	if _, s := r.sent(0, 9); s != addr(2) {
-		t.Errorf("sent to %v, want the cold server", s)
-	}
-}
-
 // i958eff: servers came back from silence cold, before the list told.
 func TestReturnFromSilenceIsRamped(t *testing.T) {
 	r := newRig(t, testSettings(), 3)
@@ -290,23 +176,6 @@
 	}
 }
 
-// Hung servers stay Connected in the source's scheme; silence demotes them.
-func TestHungServerIsLeft(t *testing.T) {
-	r := newRig(t, testSettings(), 4)
-	for range 200 { // learn what an answer takes
-		id, s := r.sent(0, uint64(r.b.rng.Int64()))
-		r.now += 10
-		r.outcome(id, 0, s, OK, 10)
-	}
-	_, s := r.sent(0, 9)
-	for range 30 {
-		if r.tick(10); r.b.byAddr[s].state == Unhealthy {
-			return
-		}
-	}
-	t.Error("a server that answers nothing for 300 ms was not demoted")
-}
-
 // South's rough days: a server that failed often rests long while others can take
 // its requests, but is tried again at once while they are full.
 func TestFailingServerIsTriedAgainWhileOthersAreFull(t *testing.T) {
@@ -330,29 +199,6 @@
 	}
 }
 
-// Kyushu's and south's failing servers: what must not run twice would be lost on a
-// server that is only being checked.
-func TestSingleShotDoesNotCheckAServer(t *testing.T) {
-	r := newRig(t, testSettings(), 4)
-	bad := r.b.byAddr[addr(0)]
-	r.b.enter(bad, UnhealthyPending)
-	free, once := 0, 0
-	for range 200 {
-		r.now += 10
-		for class, n := range []*int{&free, &once} {
-			id, s := r.sent(class, uint64(r.b.rng.Int64()))
-			if s == bad.id {
-				*n++
-			}
-			r.outcome(id, 0, s, OK, 5)
-			r.b.enter(bad, UnhealthyPending)
-		}
-	}
-	if free == 0 || once > 0 {
-		t.Errorf("a pending server was checked by %d free and %d single shot requests; want some and none", free, once)
-	}
-}
-
 func TestCrowdedWindowShrinks(t *testing.T) {
 	set := testSettings()
 	set.Replicas = 20 // many, as on ie9df20: each sees little of the load
@@ -394,21 +240,6 @@
 	}
 }
 
-// Where discovery is asked, one server's failure at every agent must not bring a whole
-// list to each: what changes comes with the subscription.
-func TestDemotionAsksForNoListWhereChangesAreFollowed(t *testing.T) {
-	set := testSettings()
-	set.Membership = "on_request"
-	r := newRig(t, set, 4)
-	id, s := r.sent(0, 7)
-	if a := find(r.outcome(id, 0, s, Error, 5), ActFetch); a != nil {
-		t.Error("a demotion asked for the whole list")
-	}
-	if r.b.byAddr[s].state != Unhealthy {
-		t.Error("the failure did not demote its server")
-	}
-}
-
 // i452d3e: windows that grew before calm was known crowded the servers, and the
 // crowded time became the measure of calm.
 func TestNoWindowGrowsBeforeCalmIsKnown(t *testing.T) {
@@ -458,45 +289,6 @@
 	}
 }
 
-// Crossing zones costs time and a price: of many keys more stay in the own zone
-// than its servers' part, and still most other servers are used.
-func TestOwnZoneIsPreferredByKey(t *testing.T) {
-	r := newRig(t, testSettings(), 6) // zones 0 and 1 in turn; this agent is in 0
-	own, used, all := 0, map[Addr]bool{}, 600
-	for key := range uint64(all) {
-		id, s := r.sent(0, mix(key+1))
-		r.outcome(id, 0, s, OK, 20)
-		used[s] = true
-		if r.b.byAddr[s].zone == 0 {
-			own++
-		}
-	}
-	if share := float64(own) / float64(all); share < 0.53 || share > 0.68 || len(used) != 6 {
-		t.Errorf("own zone got %.2f of the keys over %d servers, want about 0.6 over 6", share, len(used))
-	}
-}
-
-// A started stream belongs to the client: nothing more is sent or answered for it.
-func TestStartedStreamIsLeftAlone(t *testing.T) {
-	set := testSettings()
-	set.Classes[0].Streamed = true
-	r := newRig(t, set, 4)
-	id, s := r.sent(0, 3)
-	r.now += 30
-	r.do(Event{Kind: EvStarted, Request: id, Attempt: 0, Server: s, LatencyMs: 30})
-	for range 200 {
-		for _, a := range r.tick(10) {
-			if a.Request == id && a.Kind != ActTimer {
-				t.Fatalf("action %+v for a request whose answer streams", a)
-			}
-		}
-	}
-	actions := r.do(Event{Kind: EvOutcome, Request: id, Attempt: 0, Server: s, Status: Reset, LatencyMs: 2000, Final: true})
-	if find(actions, ActSend) != nil || find(actions, ActFail) != nil || len(r.b.requests) != 0 {
-		t.Errorf("a stream that broke: %+v, %d requests kept", actions, len(r.b.requests))
-	}
-}
-
 // ifa9784: in a crowd most attempts were turned away, and counting them as flow gave a
 // cold server many times its share.
 func TestColdServerEarnsByWhatIsServedOnly(t *testing.T) {
@@ -653,27 +445,6 @@
 	}
 }
 
-// A server that calls the request unfit has answered: the request is at fault and
-// fails at once, also where its class would go to further servers, and the server
-// keeps its tier.
-func TestUnfitRequestFailsAndDemotesNobody(t *testing.T) {
-	for class, c := range testSettings().Classes {
-		r := newRig(t, testSettings(), 4)
-		id, s := r.sent(class, 7)
-		r.now += 5
-		actions := r.outcome(id, 0, s, Unfit, 5)
-		if f := find(actions, ActFail); f == nil || f.Request != id || len(actions) != 1 {
-			t.Errorf("%s: %+v, want one failure", c.Name, actions)
-		}
-		if srv := r.b.byAddr[s]; srv.state != Unknown || srv.heard != r.now || len(srv.out) != 0 {
-			t.Errorf("%s: state %d, heard at %v, %d out", c.Name, srv.state, srv.heard, len(srv.out))
-		}
-		if len(r.b.requests)+len(r.b.held)+len(r.b.pasts) != 0 {
-			t.Errorf("%s: the request is kept", c.Name)
-		}
-	}
-}
-
 // A probe that the server broke off was answered by a process that runs: no silence,
 // which would hold the server also while requests find no room elsewhere.
 func TestBrokenProbeIsNoSilence(t *testing.T) {
