Judge four tests of windows from outside, by the view's sum of windows

Need: tests of a server's window still read it inside the module, in policy/. Change: crowded windows shrink, no window grows before calm is known, answered failures keep the window, few agents begin larger: in internal/policytest on View.Window, on one server or as the sum of two. The first windows are written as the numbers that the design states (two for one of many agents, eight for one alone) instead of the module's constant.

--- a/internal/policytest/scenario_test.go
+++ b/internal/policytest/scenario_test.go
@@ -766,3 +766,78 @@
 		}
 	}
 }
+
+func TestCrowdedWindowShrinks(t *testing.T) {
+	set := testSettings()
+	set.Replicas = 20 // many, as on ie9df20: each sees little of the load
+	r := newRig(t, set, 1)
+	r.warm(300, 20) // long enough to know the calm answer time
+	grown := r.b.View().Window
+	for range 200 {
+		if id, actions := r.ask(0, 1); find(actions, ActSend) != nil {
+			r.now += 140
+			r.outcome(id, 0, addr(0), OK, 140)
+		}
+		r.now += 10
+	}
+	w := r.b.View().Window
+	if w >= grown {
+		t.Errorf("answers took seven times as long and the window went from %.2f to %.2f", grown, w)
+	}
+	// ie9df20: with many agents one attempt of each keeps a tipped server busy.
+	if w >= 1 {
+		t.Errorf("a tipped server is not left to rest: window %.2f", w)
+	}
+}
+
+// A server that is not measured yet may hold two attempts of one of many agents.
+func TestNoWindowGrowsBeforeCalmIsKnown(t *testing.T) {
+	r := newRig(t, testSettings(), 2)
+	for i := range 49 { // calm is known from the 50th answer on
+		r.warm(1, 20)
+		if w := r.b.View().Window; w > 2*2 {
+			t.Fatalf("windows %.2f after %d answers", w, i+1)
+		}
+	}
+	var ids []RequestID
+	var tos []Addr
+	for range 40 {
+		ids, tos = ids[:0], tos[:0]
+		for range 3 {
+			if id, actions := r.ask(0, r.rng.Uint64()|1); find(actions, ActSend) != nil {
+				ids, tos = append(ids, id), append(tos, find(actions, ActSend).Server)
+			}
+		}
+		r.now += 20
+		for i := range ids {
+			r.outcome(ids[i], 0, tos[i], OK, 20)
+		}
+	}
+	if w := r.b.View().Window; w <= 2*2 {
+		t.Errorf("no window grew once calm was known: %.2f", w)
+	}
+}
+
+// An answered failure tells nothing of a crowd; one that did not connect halves the window.
+func TestAnsweredFailureKeepsTheWindow(t *testing.T) {
+	for status, want := range map[Status]float64{Error: 8 + 8, Reset: 8 + 8, ConnectFailed: 8 + 4} {
+		set := testSettings()
+		set.Replicas = 1 // an agent alone begins with eight a server
+		r := newRig(t, set, 2)
+		id, s := r.sent(1, 0)
+		r.outcome(id, 0, s, status, 5)
+		if v := r.b.View(); v.States[Unhealthy] != 1 || v.Window != want {
+			t.Errorf("ended %d: %+v, want one Unhealthy and windows of %v", status, v, want)
+		}
+	}
+}
+
+func TestFewAgentsBeginWithLargerWindows(t *testing.T) {
+	for replicas, want := range map[int]float64{0: 8, 1: 8, 2: 4, 4: 2, 80: 2} {
+		set := testSettings()
+		set.Replicas = replicas
+		if w := newRig(t, set, 1).b.View().Window; w != want {
+			t.Errorf("%d agents: window %v, want %v", replicas, w, want)
+		}
+	}
+}
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -199,33 +199,6 @@
 	}
 }
 
-func TestCrowdedWindowShrinks(t *testing.T) {
-	set := testSettings()
-	set.Replicas = 20 // many, as on ie9df20: each sees little of the load
-	r := newRig(t, set, 1)
-	srv := r.b.servers[0]
-	for range 300 { // long enough to know the calm answer time
-		id, s := r.sent(0, 1)
-		r.now += 20
-		r.outcome(id, 0, s, OK, 20)
-	}
-	grown := srv.window
-	for range 200 {
-		if id, actions := r.ask(0, 1); find(actions, ActSend) != nil {
-			r.now += 140
-			r.outcome(id, 0, srv.id, OK, 140)
-		}
-		r.now += 10
-	}
-	if srv.window >= grown {
-		t.Errorf("answers took seven times as long and the window went from %.2f to %.2f", grown, srv.window)
-	}
-	// ie9df20: with many agents one attempt of each keeps a tipped server busy.
-	if srv.window >= 1 {
-		t.Errorf("a tipped server is not left to rest: window %.2f", srv.window)
-	}
-}
-
 // The client's retry of a hopeless request is judged by the client's time.
 func TestRetryKeepsTheClientsTime(t *testing.T) {
 	r := newRig(t, testSettings(), 1)
@@ -240,37 +213,6 @@
 	}
 }
 
-// i452d3e: windows that grew before calm was known crowded the servers, and the
-// crowded time became the measure of calm.
-func TestNoWindowGrowsBeforeCalmIsKnown(t *testing.T) {
-	r := newRig(t, testSettings(), 2)
-	for range learnFor - 1 {
-		id, s := r.sent(0, r.b.rng.Uint64())
-		r.now += 20
-		r.outcome(id, 0, s, OK, 20)
-		if w := r.b.byAddr[s].window; w > firstWindow {
-			t.Fatalf("window %.2f after %.0f answers", w, r.b.answers)
-		}
-	}
-	var ids []RequestID
-	var tos []Addr
-	for range 40 {
-		ids, tos = ids[:0], tos[:0]
-		for range 3 {
-			if id, actions := r.ask(0, r.b.rng.Uint64()); find(actions, ActSend) != nil {
-				ids, tos = append(ids, id), append(tos, find(actions, ActSend).Server)
-			}
-		}
-		r.now += 20
-		for i := range ids {
-			r.outcome(ids[i], 0, tos[i], OK, 20)
-		}
-	}
-	if w := max(r.b.servers[0].window, r.b.servers[1].window); w <= firstWindow {
-		t.Errorf("no window grew once calm was known: %.2f", w)
-	}
-}
-
 // i7e1314: the class of least worth was starved though the worst class counts.
 func TestWorstClassCountsAmongHeld(t *testing.T) {
 	set := testSettings()
@@ -467,21 +409,6 @@
 	}
 }
 
-// A server that answers with a failure is not crowded by that: it is demoted, but comes
-// back with the window it had. One that is silent comes back with half.
-func TestAnsweredFailureKeepsTheWindow(t *testing.T) {
-	for status, want := range map[Status]float64{Error: 8, Reset: 8, ConnectFailed: 4} {
-		r := newRig(t, testSettings(), 2)
-		id, s := r.sent(1, 0)
-		srv := r.b.byAddr[s]
-		srv.window = 8
-		r.outcome(id, 0, s, status, 5)
-		if srv.state != Unhealthy || srv.window != want {
-			t.Errorf("ended %d: state %d, window %v, want %v", status, srv.state, srv.window, want)
-		}
-	}
-}
-
 // A slow machine that always answers as fast as it can is not crowded, whatever the
 // others do. One that answers slower than it could is, and a new process is unknown.
 func TestSlowServerIsNotTakenForACrowdedOne(t *testing.T) {
@@ -651,18 +578,6 @@
 	}
 }
 
-// Of few agents each sees most of what comes: where two share the servers, windows for one
-// of many refused half of the first second (bulk+slow+pieces).
-func TestFewAgentsBeginWithLargerWindows(t *testing.T) {
-	for replicas, want := range map[int]float64{0: 8, 1: 8, 2: 4, 4: 2, 80: 2} {
-		set := testSettings()
-		set.Replicas = replicas
-		if w := newRig(t, set, 1).b.servers[0].window; w != want {
-			t.Errorf("%d agents: window %v, want %v", replicas, w, want)
-		}
-	}
-}
-
 // r8b552c: answers that got lost were learned as answers of twice the aim, and windows shrank
 // to one or two attempts while servers had nothing to do.
 func TestLostAnswerTellsNothingOfItsServer(t *testing.T) {
