Judge further attempts, probes and senseless numbers from outside

Need: three more tests of the module set its state by hand (what was tried, demotions, the scores of servers) and kept lines in policy/. Change: further attempts are earned by served requests, with shed requests passed over instead of zeroing what was tried; four servers fall silent by failed connects before probes are counted; senseless numbers are judged by the module placing each of 40 requests at once and its view staying a number, instead of reading scores.

--- a/internal/policytest/scenario_test.go
+++ b/internal/policytest/scenario_test.go
@@ -841,3 +841,92 @@
 		}
 	}
 }
+
+func TestFurtherAttemptsAreEarnedByServedRequests(t *testing.T) {
+	for _, served := range []bool{true, false} {
+		r := newRig(t, testSettings(), 8)
+		further := 0
+		for i := range 100 {
+			r.now += 500
+			id, actions := r.ask(0, r.rng.Uint64()|1)
+			a := find(actions, ActSend)
+			if a == nil {
+				continue // shed: the agent sees little served in time
+			}
+			if served && i%5 > 0 {
+				r.outcome(id, 0, a.Server, OK, 10)
+				continue
+			}
+			for try := 0; a != nil; try++ {
+				if a = find(r.outcome(id, try, a.Server, Full, 1), ActSend); a != nil {
+					further++
+				}
+			}
+		}
+		// againMost, four, is what an agent saves up of further attempts.
+		if served && further < 15 || !served && further > 4 {
+			t.Errorf("four of five served: %v; %d further attempts", served, further)
+		}
+	}
+}
+
+func TestProbesAreFewerThanRequests(t *testing.T) {
+	set := testSettings()
+	set.Limits.Probing = true
+	r := newRig(t, set, 6)
+	for i := 0; r.states()[Unhealthy] < 4; i++ { // four fall silent
+		if i > 50 {
+			t.Fatalf("four servers were not left: %v", r.states())
+		}
+		id, actions := r.ask(0, r.rng.Uint64()|1)
+		for try := 0; find(actions, ActSend) != nil; try++ {
+			to, st := find(actions, ActSend).Server, OK
+			if to[3] < 4 {
+				st = ConnectFailed
+			}
+			if actions = r.outcome(id, try, to, st, 5); st == OK {
+				break
+			}
+		}
+	}
+	probes := 0
+	for range 200 {
+		r.now += 50
+		id, actions := r.ask(0, r.rng.Uint64()|1)
+		sent := find(actions, ActSend)
+		for _, a := range actions {
+			if a.Kind == ActProbe {
+				probes++
+				r.do(Event{Kind: EvProbed, Server: a.Server, Status: Full, LatencyMs: 1})
+			}
+		}
+		if sent != nil {
+			r.outcome(id, 0, sent.Server, Full, 1)
+		}
+	}
+	if probes == 0 || probes > 30 {
+		t.Errorf("%d probes in 200 requests", probes)
+	}
+}
+
+// Numbers that make no sense, in the list and in outcomes, are taken for none: the module
+// goes on placing requests, and its view stays a number.
+func TestNumbersThatMakeNoSense(t *testing.T) {
+	for _, x := range []float64{math.NaN(), math.Inf(1), math.Inf(-1), -1, math.MaxFloat64} {
+		r := newRig(t, testSettings(), 3)
+		r.list(ListFull, Entry{Server: addr(0), Health: Ready, Weight: x, SinceMs: x},
+			Entry{Server: addr(1), Health: Ready, Weight: 1, SinceMs: -x})
+		id, s := r.sent(0, 7)
+		r.do(Event{Kind: EvOutcome, Request: id, Server: s, Status: OK, LatencyMs: x, Final: true})
+		r.do(Event{Kind: EvRequest, Request: 99, LeftMs: x, Attempt: -1})
+		r.do(Event{Kind: EvOutcome, Request: 99, Attempt: -1, Server: s, Status: OK})
+		for range 40 { // each is sent at once
+			r.now += 10
+			id, s := r.sent(0, r.rng.Uint64()|1)
+			r.outcome(id, 0, s, OK, 10)
+		}
+		if v := r.b.View(); math.IsNaN(v.Window) || math.IsNaN(v.Room) || math.IsNaN(v.Shed) || math.IsNaN(v.Over) {
+			t.Errorf("%v: view %+v", x, v)
+		}
+	}
+}
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -250,62 +250,6 @@
 	}
 }
 
-// ia9314f, ifa9784: where nothing is served, further attempts only multiply the load.
-func TestFurtherAttemptsAreEarnedByServedRequests(t *testing.T) {
-	for _, served := range []bool{true, false} {
-		r := newRig(t, testSettings(), 8)
-		further := 0
-		for i := range 100 {
-			r.now += 500
-			r.b.tried = 0 // nothing is shed
-			id, s := r.sent(0, r.b.rng.Uint64())
-			if served && i%5 > 0 {
-				r.outcome(id, 0, s, OK, 10)
-				continue
-			}
-			for try := 0; ; try++ {
-				a := find(r.outcome(id, try, s, Full, 1), ActSend)
-				if a == nil {
-					break
-				}
-				s, further = a.Server, further+1
-			}
-		}
-		if served && further < 15 || !served && further > int(againMost) {
-			t.Errorf("four of five served: %v; %d further attempts", served, further)
-		}
-	}
-}
-
-// bogota-turnos big-2: 3.5 probes a request, as a crowded server turns probes away too
-// and each request sent the next.
-func TestProbesAreFewerThanRequests(t *testing.T) {
-	set := testSettings()
-	set.Limits.Probing = true
-	r := newRig(t, set, 6)
-	for i := range 4 {
-		r.b.demote(r.b.byAddr[addr(i)], true)
-	}
-	probes := 0
-	for range 200 {
-		r.now += 50
-		id, actions := r.ask(0, r.b.rng.Uint64())
-		sent := find(actions, ActSend)
-		for _, a := range actions {
-			if a.Kind == ActProbe {
-				probes++
-				r.do(Event{Kind: EvProbed, Server: a.Server, Status: Full, LatencyMs: 1})
-			}
-		}
-		if sent != nil {
-			r.outcome(id, 0, sent.Server, Full, 1)
-		}
-	}
-	if probes == 0 || probes > 30 {
-		t.Errorf("%d probes in 200 requests", probes)
-	}
-}
-
 // nairobi-runner big-1: an agent that meets a server twice a minute cannot follow its
 // crowd by window. One that was full or late is passed over for about a
 // turn, and where most of the tier would be, none is.
@@ -369,24 +313,6 @@
 	}
 }
 
-// Numbers that are none reach no decision: every request is still sent and ended.
-func TestNumbersThatMakeNoSense(t *testing.T) {
-	for _, x := range []float64{math.NaN(), math.Inf(1), math.Inf(-1), -1, math.MaxFloat64} {
-		r := newRig(t, testSettings(), 3)
-		r.list(ListFull, Entry{Server: addr(0), Health: Ready, Weight: x, SinceMs: x},
-			Entry{Server: addr(1), Health: Ready, Weight: 1, SinceMs: -x})
-		id, s := r.sent(0, 7)
-		r.do(Event{Kind: EvOutcome, Request: id, Server: s, Status: OK, LatencyMs: x, Final: true})
-		r.do(Event{Kind: EvRequest, Request: 99, LeftMs: x, Attempt: -1})
-		r.do(Event{Kind: EvOutcome, Request: 99, Attempt: -1, Server: s, Status: OK})
-		for _, srv := range r.b.servers {
-			if w := r.b.score(&request{spot: 3}, srv); math.IsNaN(w) || math.IsNaN(srv.lat) || srv.startedAt > r.now {
-				t.Errorf("%v: server %v has score %v, time %v, start %v", x, srv.id, w, srv.lat, srv.startedAt)
-			}
-		}
-	}
-}
-
 // A probe that the server broke off was answered by a process that runs: no silence,
 // which would hold the server also while requests find no room elsewhere.
 func TestBrokenProbeIsNoSilence(t *testing.T) {
