--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -2,7 +2,6 @@
 
 import (
 	. "clayproxy.example/clayproxy/internal/events"
-	"math"
 	"testing"
 )
 
