Judge silence from outside: broken probes, and servers back from it

Need: two tests read whether a server was taken for silent, and its ramp, inside the module. They fail when every failed probe is taken for silence, and when a server back from silence keeps its old start (tried).

--- a/internal/policytest/scenario_test.go
+++ b/internal/policytest/scenario_test.go
@@ -1017,3 +1017,59 @@
 		t.Errorf("of 200 requests the cold server got %d where all were full, %d where all were served", full, served)
 	}
 }
+
+// A probe that was answered, even badly, is no silence; one that timed out or did not
+// connect is, and silence halves the window (an agent alone begins with eight).
+func TestBrokenProbeIsNoSilence(t *testing.T) {
+	for status, silent := range map[Status]bool{Error: false, Reset: false, Timeout: true, ConnectFailed: true} {
+		set := testSettings()
+		set.Limits.Probing = true
+		set.Replicas = 1
+		r := newRig(t, set, 1)
+		id, s := r.sent(1, 0)
+		r.outcome(id, 0, s, Error, 5)
+		r.now += 2 * set.Classes[1].AimMs
+		if _, actions := r.ask(1, 0); find(actions, ActProbe) == nil {
+			t.Fatalf("no probe was sent: %+v", actions)
+		}
+		r.do(Event{Kind: EvProbed, Server: s, Status: status, LatencyMs: 1})
+		want := 8.0
+		if silent {
+			want = 4
+		}
+		if v := r.b.View(); v.States[Unhealthy] != 1 || v.Window != want {
+			t.Errorf("probe ended %d: %+v, want it Unhealthy with a window of %v", status, v, want)
+		}
+	}
+}
+
+// i958eff: servers came back from silence cold, before the list told. One back from silence
+// is taken for cold: it gets less than a warm one's share of new keys.
+func TestReturnFromSilenceIsRamped(t *testing.T) {
+	share := func(silent bool) int {
+		r := newRig(t, testSettings(), 3)
+		r.warm(30, 20)
+		id, s := r.sent(0, 9)
+		st := OK
+		if silent {
+			st = ConnectFailed
+		}
+		if a := find(r.outcome(id, 0, s, st, 100), ActSend); a != nil {
+			r.outcome(id, 1, a.Server, OK, 20)
+		}
+		r.now += r.set.Contract.TipAfterMs + 500
+		back := 0
+		for range 90 {
+			r.now += 20
+			id, to := r.sent(0, r.rng.Uint64()|1)
+			r.outcome(id, 0, to, OK, 20)
+			if to == s {
+				back++
+			}
+		}
+		return back
+	}
+	if silent, warm := share(true), share(false); silent == 0 || 2*silent >= warm {
+		t.Errorf("of 90 new keys a server back from silence got %d, one that stayed %d", silent, warm)
+	}
+}
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -153,28 +153,6 @@
 	}
 }
 
-// i958eff: servers came back from silence cold, before the list told.
-func TestReturnFromSilenceIsRamped(t *testing.T) {
-	r := newRig(t, testSettings(), 3)
-	id, s := r.sent(0, 9)
-	r.outcome(id, 0, s, ConnectFailed, 100)
-	r.now += r.b.set.Contract.TipAfterMs + 500
-	for key := uint64(9); ; key++ {
-		id, to := r.sent(0, 9)
-		r.now += 20
-		r.outcome(id, 0, to, OK, 20)
-		if to == s {
-			break
-		}
-		if key > 50 {
-			t.Fatal("the silent server was never checked again")
-		}
-	}
-	if srv := r.b.byAddr[s]; r.b.ramp(srv) >= 0.5 {
-		t.Errorf("a server back from silence is taken for warm: ramp %.2f", r.b.ramp(srv))
-	}
-}
-
 // South's rough days: a server that failed often rests long while others can take
 // its requests, but is tried again at once while they are full.
 func TestFailingServerIsTriedAgainWhileOthersAreFull(t *testing.T) {
@@ -266,28 +244,6 @@
 	}
 }
 
-// A probe that the server broke off was answered by a process that runs: no silence,
-// which would hold the server also while requests find no room elsewhere.
-func TestBrokenProbeIsNoSilence(t *testing.T) {
-	for status, silent := range map[Status]bool{Error: false, Reset: false, Timeout: true, ConnectFailed: true} {
-		set := testSettings()
-		set.Limits.Probing = true
-		r := newRig(t, set, 1)
-		id, s := r.sent(1, 0)
-		r.outcome(id, 0, s, Error, 5)
-		r.now += 2 * set.Classes[1].AimMs
-		r.ask(1, 0)
-		srv := r.b.byAddr[s]
-		if !srv.probing {
-			t.Fatal("no probe was sent")
-		}
-		r.do(Event{Kind: EvProbed, Server: s, Status: status, LatencyMs: 1})
-		if srv.state != Unhealthy || srv.silent != silent {
-			t.Errorf("probe ended %d: state %d, silent %v, want %v", status, srv.state, srv.silent, silent)
-		}
-	}
-}
-
 // A slow machine that always answers as fast as it can is not crowded, whatever the
 // others do. One that answers slower than it could is, and a new process is unknown.
 func TestSlowServerIsNotTakenForACrowdedOne(t *testing.T) {
