Judge a retry's time and a failing server's hold from outside

Need: two tests read a request's aim and set a server's state by hand inside the module. A failing server is brought to three strikes by failed checks; of no key, 40 requests fill the others, and then it is tried after one aim, while otherwise it is not. They fail when a retry is given the whole aim again, and when a full fleet does not shorten the hold (tried).

--- a/internal/policytest/scenario_test.go
+++ b/internal/policytest/scenario_test.go
@@ -1073,3 +1073,75 @@
 		t.Errorf("of 90 new keys a server back from silence got %d, one that stayed %d", silent, warm)
 	}
 }
+
+// A client's retry is judged by the time that has passed for the client: where it can only
+// be held, it is told at once when its first try's aim is over, not a whole aim later.
+func TestRetryKeepsTheClientsTime(t *testing.T) {
+	ended := func(retry bool) float64 {
+		r := newRig(t, testSettings(), 1)
+		id, s := r.sent(0, 5)
+		r.now += 200
+		r.do(Event{Kind: EvDropped, Request: id})
+		r.outcome(id, 0, s, Cancelled, 200)
+		for r.b.View().InFlight < 2 { // the server's window is full: what comes is held
+			if _, actions := r.ask(0, r.rng.Uint64()|1); find(actions, ActSend) == nil {
+				t.Fatalf("the window is not filled: %+v", r.b.View())
+			}
+		}
+		r.id++
+		start := r.now
+		actions := r.do(Event{Kind: EvRequest, Request: r.id, Class: 0, Key: 5, LeftMs: 600, Retry: retry})
+		for range 100 {
+			for _, a := range actions {
+				if a.Request == r.id && a.Kind != ActTimer {
+					return r.now - start
+				}
+			}
+			actions = r.tick(5)
+		}
+		t.Fatalf("retry %v: held for 500 ms", retry)
+		return 0
+	}
+	// The client had waited 200 ms for its first try: its retry ends that much sooner.
+	if retry, fresh := ended(true), ended(false); math.Abs(fresh-retry-200) > 10 {
+		t.Errorf("a held retry was told after %.0f ms, a fresh request after %.0f", retry, fresh)
+	}
+}
+
+// A server that failed three times in a row is left alone for four aims; while the others
+// have no room it is tried again after one: one that fails some requests is better than
+// refusing them all.
+func TestFailingServerIsTriedAgainWhileOthersAreFull(t *testing.T) {
+	for _, full := range []bool{false, true} {
+		r := newRig(t, testSettings(), 4)
+		id, bad := r.sent(0, r.rng.Uint64()|1)
+		for strikes := 1; ; strikes++ {
+			if a := find(r.outcome(id, 0, bad, Error, 5), ActSend); a != nil {
+				r.outcome(id, 1, a.Server, OK, 5)
+			}
+			if strikes == 3 {
+				break
+			}
+			r.now += float64(int(1)<<(strikes-1))*r.hold() + 1
+			for i := 0; ; i++ { // the next request to it checks it, and fails again
+				var to Addr
+				if id, to = r.sent(0, r.rng.Uint64()|1); to == bad {
+					break
+				}
+				if r.outcome(id, 0, to, OK, 5); i > 100 {
+					t.Fatal("a pending server was never checked")
+				}
+			}
+		}
+		if full {
+			for range 40 { // more than the other windows hold, of no key: they take any server
+				r.ask(0, 0)
+			}
+		}
+		r.now += r.hold() + 1
+		r.ask(0, 0)
+		if tried := r.states()[UnhealthyPending] == 1; tried != full {
+			t.Errorf("others full: %v; failing server tried after one aim: %v (%v)", full, tried, r.states())
+		}
+	}
+}
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -153,43 +153,6 @@
 	}
 }
 
-// South's rough days: a server that failed often rests long while others can take
-// its requests, but is tried again at once while they are full.
-func TestFailingServerIsTriedAgainWhileOthersAreFull(t *testing.T) {
-	for _, full := range []bool{false, true} {
-		r := newRig(t, testSettings(), 4)
-		bad := r.b.byAddr[addr(0)]
-		for range 3 {
-			r.b.enter(bad, Connected)
-			r.b.demote(bad, false)
-		}
-		if full {
-			for range 40 { // more than the other windows hold
-				r.ask(0, 0)
-			}
-		}
-		r.now += r.b.aimMin + 1
-		r.ask(0, 0)
-		if tried := bad.state == UnhealthyPending; tried != full {
-			t.Errorf("others full: %v; failing server tried after one aim: %v", full, tried)
-		}
-	}
-}
-
-// The client's retry of a hopeless request is judged by the client's time.
-func TestRetryKeepsTheClientsTime(t *testing.T) {
-	r := newRig(t, testSettings(), 1)
-	id, s := r.sent(0, 5)
-	r.now += 200
-	r.do(Event{Kind: EvDropped, Request: id})
-	r.outcome(id, 0, s, Cancelled, 200)
-	r.id++
-	r.do(Event{Kind: EvRequest, Request: r.id, Class: 0, Key: 5, LeftMs: 600, Retry: true})
-	if q := r.b.requests[r.id]; q == nil || q.aimAt-r.now > 101 {
-		t.Error("a retry was given the whole aim again")
-	}
-}
-
 // i7e1314: the class of least worth was starved though the worst class counts.
 func TestWorstClassCountsAmongHeld(t *testing.T) {
 	set := testSettings()
