Judge lost attempts and tipped servers from outside, by what is sent

Need: two tests read what a server holds and how long it rests inside the module. Change: a lost attempt is judged by its window of two taking two more beside it, a third being held, and its end sending nothing; a tipped server by the next 60 new keys after its slow answer: none of them for one four times as slow, some for one a fifth slower and for one of three agents. They fail when no attempt is taken for lost, and when a tipped server does not rest (tried).

--- a/internal/policytest/scenario_test.go
+++ b/internal/policytest/scenario_test.go
@@ -1145,3 +1145,61 @@
 		}
 	}
 }
+
+// An attempt that others have overtaken by far is lost: it holds no place in the window of
+// its server (two, for one of three agents), and its end frees none.
+func TestLostAttemptKeepsNoRoom(t *testing.T) {
+	r := newRig(t, testSettings(), 1)
+	lost, s := r.sent(1, 0)
+	for range 12 { // 480 ms, and the lost one has 600
+		r.now += 5
+		id, _ := r.sent(1, 0)
+		r.now += 35
+		r.outcome(id, 0, s, OK, 35)
+	}
+	r.sent(1, 0)
+	r.sent(1, 0) // the window takes two beside the lost one
+	if _, actions := r.ask(1, 0); find(actions, ActSend) != nil {
+		t.Fatalf("a third was sent to a window of two: %+v", r.b.View())
+	}
+	if a := find(r.outcome(lost, 0, s, Timeout, 600), ActSend); a != nil {
+		t.Errorf("the end of the lost attempt made room: %+v", a)
+	}
+}
+
+// A server that tipped (an answer in twice the ease and more) misses turns: the next new
+// keys pass it over. One a fifth slower does not, nor does one of few agents, whose windows
+// follow it.
+func TestTippedServerMissesTurns(t *testing.T) {
+	after := func(agents int, rtt float64) int {
+		set := testSettings()
+		set.Replicas = agents
+		r := newRig(t, set, 6)
+		for range 100 {
+			r.now += 100
+			r.warm(1, 50)
+		}
+		id, s := r.sent(0, r.rng.Uint64()|1)
+		r.now += rtt
+		r.outcome(id, 0, s, OK, rtt)
+		n := 0
+		for range 60 {
+			r.now += 2
+			id, to := r.sent(0, r.rng.Uint64()|1)
+			r.outcome(id, 0, to, OK, 1)
+			if to == s {
+				n++
+			}
+		}
+		return n
+	}
+	if n := after(80, 200); n != 0 {
+		t.Errorf("a server that took four times as long got %d of the next 60 new keys", n)
+	}
+	if n := after(80, 60); n == 0 {
+		t.Error("a server that took a fifth longer got none of the next 60 new keys")
+	}
+	if n := after(3, 140); n == 0 {
+		t.Error("of three agents, one left a server that took 2.8 times as long alone")
+	}
+}
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -236,31 +236,6 @@
 	}
 }
 
-// An attempt whose answer is lost keeps no room at a server that goes on answering
-// others; one that was not overtaken does.
-func TestLostAttemptKeepsNoRoom(t *testing.T) {
-	r := newRig(t, testSettings(), 1)
-	lost, s := r.sent(1, 0)
-	srv := r.b.byAddr[s]
-	for range 12 { // 480 ms, and the lost one has 600
-		r.now += 5
-		id, _ := r.sent(1, 0)
-		r.now += 35
-		r.outcome(id, 0, s, OK, 35)
-	}
-	if got := r.b.holds(srv); got != 0 || len(srv.out) != 1 {
-		t.Errorf("it holds %d with %d out, want 0 and 1", got, len(srv.out))
-	}
-	r.sent(1, 0)
-	if got := r.b.holds(srv); got != 1 {
-		t.Errorf("it holds %d, want the new one", got)
-	}
-	r.outcome(lost, 0, s, Timeout, 600)
-	if got := r.b.holds(srv); got != 1 || len(srv.out) != 1 {
-		t.Errorf("it holds %d with %d out after the end of the lost one", got, len(srv.out))
-	}
-}
-
 // crowd lets an agent of many learn how its servers answer at ease, then has every answer
 // take the given time while requests come at a steady rate, and returns how many it had out
 // at the end of each phase.
@@ -312,34 +287,6 @@
 	}
 }
 
-// A server that tipped answers within the aim, but twice as slowly and more, and recovers
-// only if it is left alone: of eighty agents each sees it once in seconds, so one answer counts.
-func TestTippedServerMissesTurns(t *testing.T) {
-	rested := func(agents int, rtt float64) float64 {
-		set := testSettings()
-		set.Replicas = agents
-		r := newRig(t, set, 6)
-		for range 2 * learnFor {
-			r.now += 100
-			id, s := r.sent(0, r.b.rng.Uint64())
-			r.outcome(id, 0, s, OK, 50)
-		}
-		id, s := r.sent(0, 7)
-		r.now += rtt
-		r.outcome(id, 0, s, OK, rtt)
-		return (r.b.byAddr[s].restUntil - r.now) / (r.b.gap * 6)
-	}
-	if turns := rested(80, 60); turns > 0 {
-		t.Errorf("a server that took a fifth longer misses %.1f turns", turns)
-	}
-	if turns := rested(80, 200); turns < 1 {
-		t.Errorf("a server that took four times as long misses %.1f turns", turns)
-	}
-	if turns := rested(3, 140); turns > 0 {
-		t.Errorf("of three agents, whose windows follow it, one leaves a server alone for %.1f turns", turns)
-	}
-}
-
 // r8b552c: answers that got lost were learned as answers of twice the aim, and windows shrank
 // to one or two attempts while servers had nothing to do.
 func TestLostAnswerTellsNothingOfItsServer(t *testing.T) {
