--- a/internal/policytest/scenario_test.go
+++ b/internal/policytest/scenario_test.go
@@ -1250,3 +1250,30 @@
 		}
 	}
 }
+
+// The room grows by a twentieth of itself in an answer time that met no crowd, not by one
+// for each answer: one attempt more of each of eighty agents would undo every cut. In a
+// second at ease, some twelve answer times, it grows, and by less than itself.
+func TestRoomGrowsByAPartOfItself(t *testing.T) {
+	v := crowd(t, 80, phase{80, 200}, phase{120, 200}, phase{80, 25})
+	if v[2].Room <= v[1].Room || v[2].Room >= 2*v[1].Room {
+		t.Errorf("room went from %.2f to %.2f in a second at ease", v[1].Room, v[2].Room)
+	}
+}
+
+// Few agents see most of the load: what answers well within the aim is not crowded,
+// however low calm was taken. Answers in a quarter of the aim, after a calm of a fifteenth:
+// the windows of one agent alone stay, those of one of twenty are cut.
+func TestLeastLimitFallsWithTheAgents(t *testing.T) {
+	for _, agents := range []int{1, 20} {
+		set := testSettings()
+		set.Replicas = agents
+		r := newRig(t, set, 2)
+		r.warm(60, 20)
+		first := r.b.View().Window
+		r.warm(200, 75)
+		if w := r.b.View().Window; (w >= first) != (agents == 1) {
+			t.Errorf("%d agents: windows %.1f after answers in a quarter of the aim, %.1f before", agents, w, first)
+		}
+	}
+}
