--- a/internal/policytest/scenario_test.go
+++ b/internal/policytest/scenario_test.go
@@ -545,6 +545,22 @@
 	}
 }
 
+// newKeys sends n requests of new keys, one each ms and each answered in ms, and returns
+// how many went to s.
+func (r *rig) newKeys(n int, ms float64, s Addr) int {
+	r.t.Helper()
+	got := 0
+	for range n {
+		r.now += ms
+		id, to := r.sent(0, r.rng.Uint64()|1)
+		r.outcome(id, 0, to, OK, ms)
+		if to == s {
+			got++
+		}
+	}
+	return got
+}
+
 // hold is how long a server that failed once is left alone: the shortest aim (DESIGN:
 // a demoted server returns by validation or a bounded lapse).
 func (r *rig) hold() float64 {
@@ -1058,16 +1074,7 @@
 			r.outcome(id, 1, a.Server, OK, 20)
 		}
 		r.now += r.set.Contract.TipAfterMs + 500
-		back := 0
-		for range 90 {
-			r.now += 20
-			id, to := r.sent(0, r.rng.Uint64()|1)
-			r.outcome(id, 0, to, OK, 20)
-			if to == s {
-				back++
-			}
-		}
-		return back
+		return r.newKeys(90, 20, s)
 	}
 	if silent, warm := share(true), share(false); silent == 0 || 2*silent >= warm {
 		t.Errorf("of 90 new keys a server back from silence got %d, one that stayed %d", silent, warm)
@@ -1182,16 +1189,7 @@
 		id, s := r.sent(0, r.rng.Uint64()|1)
 		r.now += rtt
 		r.outcome(id, 0, s, OK, rtt)
-		n := 0
-		for range 60 {
-			r.now += 2
-			id, to := r.sent(0, r.rng.Uint64()|1)
-			r.outcome(id, 0, to, OK, 1)
-			if to == s {
-				n++
-			}
-		}
-		return n
+		return r.newKeys(60, 2, s)
 	}
 	if n := after(80, 200); n != 0 {
 		t.Errorf("a server that took four times as long got %d of the next 60 new keys", n)
@@ -1236,16 +1234,7 @@
 		if a := find(r.do(ev), ActSend); a != nil {
 			r.outcome(id, 1, a.Server, OK, 1)
 		}
-		n := 0
-		for range 60 {
-			r.now++
-			id, to := r.sent(0, r.rng.Uint64()|1)
-			r.outcome(id, 0, to, OK, 1)
-			if to == s {
-				n++
-			}
-		}
-		if (n == 0) != c.passed {
+		if n := r.newKeys(60, 1, s); (n == 0) != c.passed {
 			t.Errorf("%s: the server got %d of the next 60 new keys", c.crowd, n)
 		}
 	}
