Judge a server that is slow by nature from outside, by its window

Need: the test of a slow server set calm and means by hand inside the module. Change: two servers answer in 30 and 120 ms for 400 requests: the slow one's window stays, though 120 ms is over one and a half times the fleet's calm; at 240 ms, twice its own, it is cut. That a new process does not keep the old one's calm is not judged from outside yet; ROADMAP says so. It fails when a server's limit goes by the fleet's calm alone (tried).

--- a/internal/policytest/scenario_test.go
+++ b/internal/policytest/scenario_test.go
@@ -1266,3 +1266,31 @@
 		}
 	}
 }
+
+// A server that is slow by nature is judged by its own calm, not by the fleet's: at four times
+// the other's answer time, over one and a half times the fleet's calm, its window stays; at
+// twice its own it is cut.
+func TestSlowServerIsNotTakenForACrowdedOne(t *testing.T) {
+	r := newRig(t, testSettings(), 2)
+	serve := func(n int, slow float64) {
+		for range n {
+			r.now += 200
+			id, s := r.sent(0, r.rng.Uint64()|1)
+			rtt := 30.0
+			if s == addr(0) {
+				rtt = slow
+			}
+			r.now += rtt
+			r.outcome(id, 0, s, OK, rtt)
+		}
+	}
+	first := r.b.View().Window
+	serve(400, 120)
+	if w := r.b.View().Window; w < first {
+		t.Errorf("at its own calm, four times the other's, the slow server's window was cut: %.1f of %.1f", w, first)
+	}
+	serve(100, 240)
+	if w := r.b.View().Window; w >= first {
+		t.Errorf("at twice its own calm the slow server's window stays: %.1f of %.1f", w, first)
+	}
+}
