--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -88,12 +88,6 @@
 	return id, a.Server
 }
 
-// tick fires the running timer after ms.
-func (r *rig) tick(ms float64) []Action {
-	r.now += ms
-	return r.do(Event{Kind: EvTimer, Token: tickToken})
-}
-
 // A day with one agent and four servers: the first answers were quick (a few hot
 // keys), and what came after counted as crowded at one attempt a server, for good.
 func TestLoneAgentLearnsThatItsServersAreCalm(t *testing.T) {
@@ -147,43 +141,6 @@
 	}
 }
 
-// crowd lets an agent of many learn how its servers answer at ease, then has every answer
-// take the given time while requests come at a steady rate, and returns how many it had out
-// at the end of each phase.
-func crowd(t *testing.T, agents int, rtt float64) (ease, crowded int) {
-	set := testSettings()
-	set.Replicas = agents
-	r := newRig(t, set, 60)
-	type flight struct {
-		id  RequestID
-		s   Addr
-		end float64
-	}
-	var out []flight
-	phase := func(rtt float64, requests int) {
-		for range requests {
-			r.now += 40
-			for len(out) > 0 && out[0].end <= r.now {
-				f := out[0]
-				out = out[1:]
-				for _, a := range r.outcome(f.id, 0, f.s, OK, rtt) {
-					if a.Kind == ActSend {
-						out = append(out, flight{a.Request, a.Server, r.now + rtt})
-					}
-				}
-			}
-			if id, actions := r.ask(1, r.b.rng.Uint64()); find(actions, ActSend) != nil {
-				out = append(out, flight{id, find(actions, ActSend).Server, r.now + rtt})
-			}
-			r.tick(0)
-		}
-	}
-	phase(80, 200)
-	ease = r.b.inflight
-	phase(rtt, 60)
-	return ease, r.b.inflight
-}
-
 // r8b552c: answers that got lost were learned as answers of twice the aim, and windows shrank
 // to one or two attempts while servers had nothing to do.
 func TestLostAnswerTellsNothingOfItsServer(t *testing.T) {
