Judge a lost answer's server from outside, with the other server drained at times

Need: the test of lost answers read a server's mean, rest and window inside the module. Change: two servers; a lost answer leaves the view as it was and its server gets some of the next new keys. For a server seen seldom, and for one whose others were slow too, the other server drains while the attempt is out, so that all go to the first, and is ready again: then the first gets none of the next 20 new keys (it rests as a slow one). It fails when no answer is taken for lost, and when a seldom-seen server's is (tried); the crowd's case does not reach the check of the server's mean, by time alone it is no loss.

--- a/internal/policytest/scenario_test.go
+++ b/internal/policytest/scenario_test.go
@@ -1372,3 +1372,58 @@
 		}
 	}
 }
+
+// An attempt overtaken by many others at a server that answers well since lost its answer:
+// it tells nothing of the server, which keeps its window, state and turns. A few others are
+// no evidence: of many agents each sees a server too seldom to know how it answers now
+// (zone+vast); nor is an answer lost where the others are slow as well: both times the
+// server misses turns for a slow one. While the other server drains, all go to the first.
+func TestLostAnswerTellsNothingOfItsServer(t *testing.T) {
+	r := newRig(t, testSettings(), 2)
+	r.warm(50, 20)
+	lost, s := r.sent(0, r.rng.Uint64()|1)
+	r.warm(28, 20) // 560 ms of the 600 that the request has
+	before := r.b.View()
+	r.now += 20
+	r.outcome(lost, 0, s, Timeout, 580)
+	if v := r.b.View(); v.Window < before.Window || v.Over != before.Over || v.States != [4]int{2, 0, 0, 0} {
+		t.Errorf("a lost answer: view %+v, before %+v", v, before)
+	}
+	if n := r.newKeys(60, 1, s); n == 0 {
+		t.Error("after a lost answer its server got none of the next 60 new keys")
+	}
+	other := addr(0)
+	if s == other {
+		other = addr(1)
+	}
+	alone := func(late func(id RequestID)) {
+		r.list(ListDelta, Entry{Server: other, Health: Draining, Weight: 1})
+		id, to := r.sent(0, r.rng.Uint64()|1)
+		if to != s {
+			t.Fatalf("sent to %v while the other drains", to)
+		}
+		late(id)
+		r.list(ListDelta, Entry{Server: other, Health: Ready, Weight: 1})
+	}
+	alone(func(rare RequestID) {
+		for range 3 {
+			r.now += 160
+			r.warm(1, 20)
+		}
+		r.now += 40
+		r.outcome(rare, 0, s, Timeout, 580)
+	})
+	if n := r.newKeys(20, 1, s); n != 0 {
+		t.Errorf("seldom seen: its server got %d of the next 20 new keys, want it to miss turns", n)
+	}
+	r.now += 16 * r.set.Contract.ColdMs / 10 // past the longest rest
+	r.warm(20, 20)
+	alone(func(slow RequestID) {
+		r.warm(4, 145)
+		r.now += 20
+		r.outcome(slow, 0, s, Timeout, 600)
+	})
+	if n := r.newKeys(20, 1, s); n != 0 {
+		t.Errorf("a crowd: its server got %d of the next 20 new keys, want it to miss turns", n)
+	}
+}
