--- a/internal/policytest/scenario_test.go
+++ b/internal/policytest/scenario_test.go
@@ -1427,3 +1427,46 @@
 		t.Errorf("a crowd: its server got %d of the next 20 new keys, want it to miss turns", n)
 	}
 }
+
+// busy plays n rounds: each asks k new keys, then answers every attempt out in rtt, those
+// sent meanwhile too.
+func (r *rig) busy(n, k int, rtt float64) {
+	var out []*Action
+	take := func(actions []Action) {
+		for i := range actions {
+			if actions[i].Kind == ActSend {
+				out = append(out, &actions[i])
+			}
+		}
+	}
+	for range n {
+		for range k {
+			_, actions := r.ask(0, r.rng.Uint64()|1)
+			take(actions)
+		}
+		r.now += rtt
+		now := out
+		out = nil
+		for _, a := range now {
+			take(r.outcome(a.Request, 0, a.Server, OK, rtt))
+		}
+		take(r.tick(0))
+	}
+}
+
+// A day with one agent and four servers: the first answers were quick (a few hot keys),
+// and what came after counted as crowded at one attempt a server, for good. A lone agent's
+// calm follows answers in 0.4 of the aim, over its least limit of a third: under load its
+// windows grow again.
+func TestLoneAgentLearnsThatItsServersAreCalm(t *testing.T) {
+	set := testSettings()
+	set.Replicas = 1
+	r := newRig(t, set, 4)
+	r.warm(100, 20)
+	r.warm(2400, 120) // one at a time
+	before := r.b.View().Window
+	r.busy(100, 6, 120)
+	if w := r.b.View().Window; w <= before {
+		t.Errorf("under load at the answer time it learned, a lone agent's windows went from %.1f to %.1f", before, w)
+	}
+}
