--- a/internal/policytest/scenario_test.go
+++ b/internal/policytest/scenario_test.go
@@ -1470,3 +1470,18 @@
 		t.Errorf("under load at the answer time it learned, a lone agent's windows went from %.1f to %.1f", before, w)
 	}
 }
+
+// id08146: agents restarted one by one while the fleet was crowded. What the first answers
+// teach is taken for calm up to a quarter of the aim at the most: after quick answers and
+// then answers in 0.9 of the aim, one server's answers in 0.47 of it still count as crowded,
+// and under load its window does not grow.
+func TestACrowdAtTheStartIsNotTakenForCalm(t *testing.T) {
+	r := newRig(t, testSettings(), 1)
+	r.warm(12, 20)  // the server's own calm is quick
+	r.warm(38, 270) // the rest of the 50 answers by which calm is first measured
+	before := r.b.View().Window
+	r.busy(100, 3, 140)
+	if w := r.b.View().Window; w > before {
+		t.Errorf("answers in 0.9 of the aim were taken for calm: the window grew from %.1f to %.1f", before, w)
+	}
+}
