Let the rig's warm-up be newKeys, and answer new keys after their time

Cause: warm and newKeys were the same loop of new keys, but newKeys answered at the moment it sent while the answer claimed ms, and warm counted nothing. Change: newKeys sends, lets ms pass and then answers, as warm did; warm calls it.

--- a/internal/policytest/scenario_test.go
+++ b/internal/policytest/scenario_test.go
@@ -538,21 +538,17 @@
 // servers a little and takes keys for one of many.
 func (r *rig) warm(n int, ms float64) {
 	r.t.Helper()
-	for range n {
-		id, s := r.sent(0, r.rng.Uint64()|1)
-		r.now += ms
-		r.outcome(id, 0, s, OK, ms)
-	}
+	r.newKeys(n, ms, Addr{})
 }
 
-// newKeys sends n requests of new keys, one each ms and each answered in ms, and returns
-// how many went to s.
+// newKeys sends n requests of new keys one after the other, each answered ms after it was
+// sent, and returns how many went to s.
 func (r *rig) newKeys(n int, ms float64, s Addr) int {
 	r.t.Helper()
 	got := 0
 	for range n {
-		r.now += ms
 		id, to := r.sent(0, r.rng.Uint64()|1)
+		r.now += ms
 		r.outcome(id, 0, to, OK, ms)
 		if to == s {
 			got++
