--- /dev/null
+++ b/internal/listsvc/faults_test.go
@@ -0,0 +1,245 @@
+package listsvc_test
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"clayproxy.example/clayproxy/internal/cluster"
+	"clayproxy.example/clayproxy/internal/listsvc"
+	"clayproxy.example/clayproxy/internal/targets"
+)
+
+var names = []string{"n1", "n2", "n3"}
+
+// startList builds cmd/fernlist and runs three instances whose Raft links pass through
+// the harness's proxies.
+func startList(t *testing.T) *cluster.Cluster {
+	t.Helper()
+	dir := t.TempDir()
+	bin := filepath.Join(dir, "fernlist")
+	if out, err := exec.Command("go", "build", "-o", bin, "../../cmd/fernlist").CombinedOutput(); err != nil {
+		t.Fatalf("build: %v\n%s", err, out)
+	}
+	c, err := cluster.New(cluster.Config{Binary: bin, Dir: dir, Names: names,
+		Ports: []string{"raft", "http", "admin"}, Args: args(t, dir)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(c.Close)
+	for _, n := range names {
+		if err := c.Start(n); err != nil {
+			t.Fatal(err)
+		}
+	}
+	return c
+}
+
+func args(t *testing.T, dir string) func(*cluster.Cluster, string) []string {
+	return func(c *cluster.Cluster, name string) []string {
+		var b strings.Builder
+		fmt.Fprintf(&b, "id = %q\ndata_dir = %q\nraft_addr = \"fd:3\"\nhttp_addr = \"fd:4\"\n"+
+			"admin_addr = \"fd:5\"\nbootstrap = %v\nmax_stale = \"1s\"\n", name,
+			filepath.Join(dir, name), name == "n1")
+		for _, p := range names {
+			if p == name {
+				continue
+			}
+			l, err := c.Link(name, p, "raft")
+			if err != nil {
+				t.Error(err)
+			}
+			fmt.Fprintf(&b, "[[peers]]\nid = %q\nraft = %q\nadmin = %q\n", p, l.Addr(), c.Addr(p, "admin"))
+		}
+		path := filepath.Join(dir, name+".toml")
+		if err := os.WriteFile(path, []byte(b.String()), 0o644); err != nil {
+			t.Error(err)
+		}
+		return []string{"serve", "--config", path}
+	}
+}
+
+func status(c *cluster.Cluster, name string) (st listsvc.Status) {
+	resp, err := http.Get("http://" + c.Addr(name, "admin") + "/v1/status")
+	if err == nil {
+		json.NewDecoder(resp.Body).Decode(&st)
+		resp.Body.Close()
+	}
+	return st
+}
+
+func leader(c *cluster.Cluster) string {
+	for _, n := range names {
+		if status(c, n).State == "Leader" {
+			return n
+		}
+	}
+	return ""
+}
+
+// put writes one entry through any instance, moving on at a failure; it gives the
+// version of the acknowledged write, or 0 if none was acknowledged within its tries.
+func put(c *cluster.Cluster, id string) uint64 {
+	body, _ := json.Marshal(targets.Target{ID: id, Addr: "127.0.0.1:9", Zone: "a", State: "up", Weight: 1})
+	client := &http.Client{Timeout: 5 * time.Second}
+	for try, end := 0, time.Now().Add(20*time.Second); time.Now().Before(end); try++ {
+		req, _ := http.NewRequest(http.MethodPut, "http://"+c.Addr(names[try%3], "admin")+"/v1/servers/"+id,
+			bytes.NewReader(body))
+		resp, err := client.Do(req)
+		if err == nil {
+			var v struct{ Version uint64 }
+			json.NewDecoder(resp.Body).Decode(&v)
+			resp.Body.Close()
+			if resp.StatusCode == http.StatusOK {
+				return v.Version
+			}
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	return 0
+}
+
+// watcher follows the list as an agent would, moving to the next instance at a failure
+// and resuming from the version it has; it fails the test if a version goes back.
+type watcher struct {
+	mu      sync.Mutex
+	version uint64
+	list    map[string]targets.Target
+}
+
+func (w *watcher) run(t *testing.T, c *cluster.Cluster, first int, stop <-chan struct{}) {
+	client := &http.Client{Timeout: 3 * time.Second}
+	for i := first; ; i++ {
+		select {
+		case <-stop:
+			return
+		default:
+		}
+		w.mu.Lock()
+		url := fmt.Sprintf("http://%s/api/targets?index=%d&wait=500", c.Addr(names[i%3], "http"), w.version)
+		w.mu.Unlock()
+		resp, err := client.Get(url)
+		if err != nil {
+			time.Sleep(20 * time.Millisecond)
+			continue
+		}
+		var l targets.List
+		err = json.NewDecoder(resp.Body).Decode(&l)
+		resp.Body.Close()
+		if err != nil || resp.StatusCode != http.StatusOK {
+			continue
+		}
+		w.take(t, l)
+		i-- // stay while it answers
+	}
+}
+
+func (w *watcher) take(t *testing.T, l targets.List) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if l.Version < w.version {
+		t.Errorf("watch went back from version %d to %d", w.version, l.Version)
+	}
+	if l.Full {
+		w.list = map[string]targets.Target{}
+	}
+	for _, s := range l.Servers {
+		if s.State == "removed" {
+			delete(w.list, s.ID)
+		} else {
+			w.list[s.ID] = s
+		}
+	}
+	w.version = l.Version
+}
+
+// TestLeaderKilledDuringWrites: 1,000 writes by eight writers, the leader SIGKILLed after
+// 300 acknowledged and started again; no acknowledged write is lost, no two share a
+// version, and every watcher ends at the same list, which holds them all.
+func TestLeaderKilledDuringWrites(t *testing.T) {
+	c := startList(t)
+	if err := cluster.Await(20*time.Second, "a leader", func() bool { return leader(c) != "" }); err != nil {
+		t.Fatal(err)
+	}
+	stop := make(chan struct{})
+	watchers := make([]*watcher, 3)
+	var wg sync.WaitGroup
+	for i := range watchers {
+		watchers[i] = &watcher{list: map[string]targets.Target{}}
+		wg.Add(1)
+		go func() { defer wg.Done(); watchers[i].run(t, c, i, stop) }()
+	}
+	var mu sync.Mutex
+	acked := map[uint64]string{}
+	killed := make(chan string, 1)
+	var writers sync.WaitGroup
+	for w := range 8 {
+		writers.Add(1)
+		go func() {
+			defer writers.Done()
+			for i := w; i < 1000; i += 8 {
+				id := fmt.Sprintf("s-%04d", i)
+				v := put(c, id)
+				mu.Lock()
+				if v != 0 {
+					if other, ok := acked[v]; ok {
+						t.Errorf("%s and %s both acknowledged at version %d", other, id, v)
+					}
+					acked[v] = id
+				}
+				n := len(acked)
+				mu.Unlock()
+				if n == 300 {
+					l := leader(c)
+					c.Kill(l)
+					killed <- l
+				}
+			}
+		}()
+	}
+	writers.Wait()
+	l := <-killed
+	if err := c.Start(l); err != nil {
+		t.Fatal(err)
+	}
+	var top uint64
+	for v := range acked {
+		top = max(top, v)
+	}
+	err := cluster.Await(30*time.Second, "every watcher at the last write", func() bool {
+		for _, w := range watchers {
+			w.mu.Lock()
+			v := w.version
+			w.mu.Unlock()
+			if v < top {
+				return false
+			}
+		}
+		return true
+	})
+	close(stop)
+	wg.Wait()
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i, w := range watchers {
+		for _, id := range acked {
+			if _, ok := w.list[id]; !ok {
+				t.Fatalf("watcher %d lacks acknowledged %s", i, id)
+			}
+		}
+		if len(w.list) != len(watchers[0].list) {
+			t.Fatalf("watcher %d holds %d entries, watcher 0 %d", i, len(w.list), len(watchers[0].list))
+		}
+	}
+	t.Logf("%d of 1000 writes acknowledged; leader %s killed at 300; history %d events",
+		len(acked), l, len(c.History()))
+}
--- a/internal/listsvc/list.go
+++ b/internal/listsvc/list.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -31,6 +32,7 @@
 type list struct {
 	mu      sync.RWMutex
 	servers map[string]targets.Target
+	setAt   map[string]uint64 // the index of each server's last change
 	changes []change
 	version uint64
 	floor   uint64
@@ -39,11 +41,13 @@
 }
 
 func newList(keep int) *list {
-	return &list{servers: map[string]targets.Target{}, keep: keep, wake: make(chan struct{})}
+	return &list{servers: map[string]targets.Target{}, setAt: map[string]uint64{}, keep: keep, wake: make(chan struct{})}
 }
 
-// Apply carries out one committed write and returns the version after it (uint64), or
-// an error for a command it cannot read (such a command changes nothing).
+// Apply carries out one committed write and returns its version (uint64): its own index,
+// or for a put that changes nothing the index that set the entry so, or for the removal
+// of what is not listed the present version. A command it cannot read changes nothing
+// and returns an error.
 func (l *list) Apply(entry *raft.Log) any {
 	var c command
 	if err := json.Unmarshal(entry.Data, &c); err != nil {
@@ -54,13 +58,16 @@
 	old, had := l.servers[c.Server.ID]
 	switch {
 	case c.Op == "put" && (!had || old != c.Server):
-		l.servers[c.Server.ID] = c.Server
+		l.servers[c.Server.ID], l.setAt[c.Server.ID] = c.Server, entry.Index
 	case c.Op == "remove" && had:
 		delete(l.servers, c.Server.ID)
+		delete(l.setAt, c.Server.ID)
 		c.Server = old
 		c.Server.State = "removed"
+	case had:
+		return l.setAt[c.Server.ID] // as it is already: a repeat of an earlier write
 	default:
-		return l.version // nothing changed: no new version
+		return l.version
 	}
 	l.changes = append(l.changes, change{Index: entry.Index, Server: c.Server})
 	if over := len(l.changes) - l.keep; over > 0 {
@@ -121,10 +128,11 @@
 
 // image is what a snapshot holds.
 type image struct {
-	Version uint64           `json:"version"`
-	Floor   uint64           `json:"floor"`
-	Servers []targets.Target `json:"servers"`
-	Changes []change         `json:"changes"`
+	Version uint64            `json:"version"`
+	Floor   uint64            `json:"floor"`
+	Servers []targets.Target  `json:"servers"`
+	Changes []change          `json:"changes"`
+	SetAt   map[string]uint64 `json:"set_at"`
 }
 
 // Snapshot keeps the whole state, changes too, so that a watch resumes across a
@@ -132,7 +140,8 @@
 func (l *list) Snapshot() (raft.FSMSnapshot, error) {
 	l.mu.RLock()
 	defer l.mu.RUnlock()
-	return image{Version: l.version, Floor: l.floor, Servers: l.all(), Changes: slices.Clone(l.changes)}, nil
+	return image{Version: l.version, Floor: l.floor, Servers: l.all(), Changes: slices.Clone(l.changes),
+		SetAt: maps.Clone(l.setAt)}, nil
 }
 
 // Restore replaces the state by a snapshot's (raft.FSM); watchers are woken.
@@ -148,7 +157,10 @@
 	for _, s := range im.Servers {
 		l.servers[s.ID] = s
 	}
-	l.changes, l.version, l.floor = im.Changes, im.Version, im.Floor
+	l.changes, l.version, l.floor, l.setAt = im.Changes, im.Version, im.Floor, im.SetAt
+	if l.setAt == nil {
+		l.setAt = map[string]uint64{}
+	}
 	close(l.wake)
 	l.wake = make(chan struct{})
 	return nil
