Prove a leader cut off from the majority stops reads and acknowledges nothing

Change: a test with three fernlist processes cuts the leader's Raft links to both followers through the harness for 10 s, reading from it and writing at it and at the majority every 50 ms, then heals. Config documents the bound: max_stale plus Raft's leader lease of 0.5 s.

--- a/internal/listsvc/config.go
+++ b/internal/listsvc/config.go
@@ -30,7 +30,9 @@
 	// data directory that has Raft state it does nothing.
 	Bootstrap bool `toml:"bootstrap"`
 	// MaxStale bounds how old a follower's read may be: one that has not heard from a
-	// leader for longer answers 503. Default 2 s.
+	// leader for longer answers 503. Default 2 s. A leader cut off from the majority
+	// steps down within Raft's leader lease (0.5 s), so reads are at most MaxStale + 0.5 s
+	// behind.
 	MaxStale time.Duration `toml:"max_stale"`
 	// KeepChanges bounds the changes kept for watches; a watch from before them gets
 	// the whole list. Default 4096.
--- a/internal/listsvc/faults_test.go
+++ b/internal/listsvc/faults_test.go
@@ -107,6 +107,36 @@
 	return 0
 }
 
+// putAt writes one entry at one instance, following its redirect, and tells whether it
+// was acknowledged.
+func putAt(c *cluster.Cluster, name, id string) bool {
+	body, _ := json.Marshal(targets.Target{ID: id, Addr: "127.0.0.1:9", Zone: "a", State: "up", Weight: 1})
+	req, _ := http.NewRequest(http.MethodPut, "http://"+c.Addr(name, "admin")+"/v1/servers/"+id, bytes.NewReader(body))
+	resp, err := (&http.Client{Timeout: 6 * time.Second}).Do(req)
+	if err != nil {
+		return false
+	}
+	resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
+// listed tells whether an instance's whole list names the id.
+func listed(c *cluster.Cluster, name, id string) bool {
+	resp, err := http.Get("http://" + c.Addr(name, "http") + "/api/targets")
+	if err != nil {
+		return false
+	}
+	defer resp.Body.Close()
+	var l targets.List
+	json.NewDecoder(resp.Body).Decode(&l)
+	for _, s := range l.Servers {
+		if s.ID == id {
+			return true
+		}
+	}
+	return false
+}
+
 // watcher follows the list as an agent would, moving to the next instance at a failure
 // and resuming from the version it has; it fails the test if a version goes back.
 type watcher struct {
--- /dev/null
+++ b/internal/listsvc/partition_test.go
@@ -0,0 +1,73 @@
+package listsvc_test
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"clayproxy.example/clayproxy/internal/cluster"
+)
+
+// TestLeaderPartitionedAway: the leader is cut off from both followers for 10 s and then
+// healed. Its reads stop within max_stale (1 s) and its lease (0.5 s) and a margin; the
+// other two elect a leader and take writes; nothing written on the cut-off side is
+// acknowledged; after the heal every instance holds every acknowledged write.
+func TestLeaderPartitionedAway(t *testing.T) {
+	c := startList(t)
+	if err := cluster.Await(20*time.Second, "a leader", func() bool { return leader(c) != "" }); err != nil {
+		t.Fatal(err)
+	}
+	old := leader(c)
+	var rest []string
+	for _, n := range names {
+		if n != old {
+			rest = append(rest, n)
+		}
+	}
+	if put(c, "before") == 0 {
+		t.Fatal("no write before the partition")
+	}
+	c.Partition([]string{old}, rest)
+	cut := time.Now()
+	lastRead := cut
+	acked := map[string]bool{}
+	for i := 0; time.Since(cut) < 10*time.Second; i++ {
+		if resp, err := http.Get("http://" + c.Addr(old, "http") + "/api/targets"); err == nil {
+			resp.Body.Close()
+			if resp.StatusCode == http.StatusOK {
+				lastRead = time.Now()
+			}
+		}
+		id := fmt.Sprintf("cut-%d", i)
+		if putAt(c, old, id) {
+			t.Errorf("%s acknowledged by %s, cut off from the majority %v after the cut", id, old, time.Since(cut))
+		}
+		if id := fmt.Sprintf("major-%d", i); putAt(c, rest[i%2], id) {
+			acked[id] = true
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	if stale := lastRead.Sub(cut); stale > 2500*time.Millisecond {
+		t.Errorf("the cut-off instance served reads %v after the cut", stale)
+	}
+	if len(acked) == 0 {
+		t.Fatal("the majority took no write while the leader was cut off")
+	}
+	c.Heal()
+	err := cluster.Await(20*time.Second, "every instance at the majority's writes", func() bool {
+		for _, n := range names {
+			for id := range acked {
+				if !listed(c, n, id) {
+					return false
+				}
+			}
+		}
+		return true
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Logf("reads of the cut-off side stopped %v after the cut; %d writes on the majority side",
+		lastRead.Sub(cut), len(acked))
+}
