Measure a change's reach to 1,000 watchers on three instances, as a benchmark

Change: BenchmarkWatchFanout runs three instances in one process on loopback ports from the system, 1,000 watchers spread over them, and per iteration one write; it reports p50 and p99 from the write's acknowledgement to each watcher's answer, and p99 from the write's send.

--- /dev/null
+++ b/internal/listsvc/bench_test.go
@@ -0,0 +1,139 @@
+package listsvc_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"clayproxy.example/clayproxy/internal/listsvc"
+	"clayproxy.example/clayproxy/internal/targets"
+)
+
+// threeNodes runs three instances in this process on loopback ports from the system.
+func threeNodes(b *testing.B) []listsvc.Config {
+	addr := func() string {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			b.Fatal(err)
+		}
+		defer ln.Close()
+		return ln.Addr().String()
+	}
+	cfgs := make([]listsvc.Config, 3)
+	for i := range cfgs {
+		cfgs[i] = listsvc.Config{ID: fmt.Sprint("n", i), DataDir: filepath.Join(b.TempDir(), "d"),
+			RaftAddr: addr(), HTTPAddr: addr(), AdminAddr: addr(), Bootstrap: i == 0,
+			MaxStale: time.Second, KeepChanges: 4096, SnapshotEvery: 8192, TrailingLogs: 1024}
+	}
+	for i := range cfgs {
+		for j, p := range cfgs {
+			if i != j {
+				cfgs[i].Peers = append(cfgs[i].Peers, listsvc.Peer{ID: p.ID, Raft: p.RaftAddr, Admin: p.AdminAddr})
+			}
+		}
+		n, err := listsvc.Start(cfgs[i], slog.New(slog.NewTextHandler(io.Discard, nil)))
+		if err != nil {
+			b.Fatal(err)
+		}
+		b.Cleanup(func() { n.Close() })
+	}
+	return cfgs
+}
+
+// BenchmarkWatchFanout: 1,000 watchers spread over three instances; each iteration writes
+// one change and waits until every watcher has it. Reported, in ms: the p50 and p99 of the
+// time from the write's acknowledgement to a watcher's answer (0 where the answer came
+// first), and the p99 from the moment the write was sent, its commit included.
+func BenchmarkWatchFanout(b *testing.B) {
+	cfgs := threeNodes(b)
+	admin := cfgs[0].AdminAddr
+	for v := uint64(0); v == 0; {
+		v = putVersion(admin, "warm")
+		time.Sleep(50 * time.Millisecond)
+	}
+	const watchers = 1000
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: watchers}}
+	var mu sync.Mutex
+	var lags []time.Time
+	var sent, acked []time.Time
+	seen := make(chan struct{}, watchers)
+	stop := make(chan struct{})
+	var wg sync.WaitGroup
+	for w := range watchers {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			var version uint64
+			for {
+				url := fmt.Sprintf("http://%s/api/targets?index=%d&wait=2000", cfgs[w%3].HTTPAddr, version)
+				resp, err := client.Get(url)
+				select {
+				case <-stop:
+					if err == nil {
+						resp.Body.Close()
+					}
+					return
+				default:
+				}
+				if err != nil {
+					continue
+				}
+				var l targets.List
+				json.NewDecoder(resp.Body).Decode(&l)
+				resp.Body.Close()
+				if version != 0 && l.Version > version {
+					mu.Lock()
+					lags = append(lags, time.Now())
+					mu.Unlock()
+					seen <- struct{}{}
+				}
+				version = max(version, l.Version)
+			}
+		}()
+	}
+	time.Sleep(time.Second) // every watcher holds its first version
+	b.ResetTimer()
+	for i := 0; i < b.N; i++ {
+		sent = append(sent, time.Now())
+		putVersion(admin, fmt.Sprint("s-", i))
+		acked = append(acked, time.Now())
+		for range watchers {
+			<-seen
+		}
+	}
+	b.StopTimer()
+	close(stop)
+	var fromAck, fromSend []float64
+	for i, at := range lags {
+		fromAck = append(fromAck, max(at.Sub(acked[i/watchers]).Seconds()*1000, 0))
+		fromSend = append(fromSend, at.Sub(sent[i/watchers]).Seconds()*1000)
+	}
+	slices.Sort(fromAck)
+	slices.Sort(fromSend)
+	b.ReportMetric(fromAck[len(fromAck)/2], "p50-ms")
+	b.ReportMetric(fromAck[len(fromAck)*99/100], "p99-ms")
+	b.ReportMetric(fromSend[len(fromSend)*99/100], "p99-sent-ms")
+	wg.Wait()
+}
+
+func putVersion(admin, id string) uint64 {
+	body := fmt.Sprintf(`{"id":%q,"addr":"127.0.0.1:9","zone":"a","state":"up","weight":1}`, id)
+	req, _ := http.NewRequest(http.MethodPut, "http://"+admin+"/v1/servers/"+id, strings.NewReader(body))
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0
+	}
+	defer resp.Body.Close()
+	var v struct{ Version uint64 }
+	json.NewDecoder(resp.Body).Decode(&v)
+	return v.Version
+}
