Measure the list service's failover to the first accepted write

Change: BenchmarkFailover starts three instances in one process per iteration, finds the leader, closes it, and writes at another instance until a write is acknowledged; it reports ms per failover.

Suspected cause, unproven: Raft's default heartbeat and election timeouts of 1 s each; shorter ones on loopback are the next thing to try and measure.

--- a/internal/listsvc/bench_test.go
+++ b/internal/listsvc/bench_test.go
@@ -19,7 +19,7 @@
 )
 
 // threeNodes runs three instances in this process on loopback ports from the system.
-func threeNodes(b *testing.B) []listsvc.Config {
+func threeNodes(b *testing.B) ([]listsvc.Config, []*listsvc.Node) {
 	addr := func() string {
 		ln, err := net.Listen("tcp", "127.0.0.1:0")
 		if err != nil {
@@ -34,6 +34,7 @@
 			RaftAddr: addr(), HTTPAddr: addr(), AdminAddr: addr(), Bootstrap: i == 0,
 			MaxStale: time.Second, KeepChanges: 4096, SnapshotEvery: 8192, TrailingLogs: 1024}
 	}
+	nodes := make([]*listsvc.Node, 3)
 	for i := range cfgs {
 		for j, p := range cfgs {
 			if i != j {
@@ -44,9 +45,10 @@
 		if err != nil {
 			b.Fatal(err)
 		}
+		nodes[i] = n
 		b.Cleanup(func() { n.Close() })
 	}
-	return cfgs
+	return cfgs, nodes
 }
 
 // BenchmarkWatchFanout: 1,000 watchers spread over three instances; each iteration writes
@@ -54,7 +56,7 @@
 // time from the write's acknowledgement to a watcher's answer (0 where the answer came
 // first), and the p99 from the moment the write was sent, its commit included.
 func BenchmarkWatchFanout(b *testing.B) {
-	cfgs := threeNodes(b)
+	cfgs, _ := threeNodes(b)
 	admin := cfgs[0].AdminAddr
 	for v := uint64(0); v == 0; {
 		v = putVersion(admin, "warm")
@@ -137,3 +139,41 @@
 	json.NewDecoder(resp.Body).Decode(&v)
 	return v.Version
 }
+
+// BenchmarkFailover: three instances; each iteration closes the leader and measures the
+// time until a write at one of the others is acknowledged. Reported: ms per failover.
+func BenchmarkFailover(b *testing.B) {
+	var total time.Duration
+	for i := 0; i < b.N; i++ {
+		b.StopTimer()
+		cfgs, nodes := threeNodes(b)
+		lead := -1
+		for lead < 0 {
+			for j, c := range cfgs {
+				if putVersion(c.AdminAddr, "warm") != 0 && leaderAt(c.AdminAddr) == c.ID {
+					lead = j
+				}
+			}
+		}
+		b.StartTimer()
+		start := time.Now()
+		nodes[lead].Close()
+		other := cfgs[(lead+1)%3].AdminAddr
+		for putVersion(other, fmt.Sprint("after-", i)) == 0 {
+			time.Sleep(5 * time.Millisecond)
+		}
+		total += time.Since(start)
+	}
+	b.ReportMetric(float64(total.Milliseconds())/float64(b.N), "ms/failover")
+}
+
+func leaderAt(admin string) string {
+	resp, err := http.Get("http://" + admin + "/v1/status")
+	if err != nil {
+		return ""
+	}
+	defer resp.Body.Close()
+	var st listsvc.Status
+	json.NewDecoder(resp.Body).Decode(&st)
+	return st.Leader
+}
