--- a/internal/listsvc/bench_test.go
+++ b/internal/listsvc/bench_test.go
@@ -19,7 +19,7 @@
 )
 
 // threeNodes runs three instances in this process on loopback ports from the system.
-func threeNodes(b *testing.B) ([]listsvc.Config, []*listsvc.Node) {
+func threeNodes(b *testing.B, election time.Duration) ([]listsvc.Config, []*listsvc.Node) {
 	addr := func() string {
 		ln, err := net.Listen("tcp", "127.0.0.1:0")
 		if err != nil {
@@ -32,7 +32,7 @@
 	for i := range cfgs {
 		cfgs[i] = listsvc.Config{ID: fmt.Sprint("n", i), DataDir: filepath.Join(b.TempDir(), "d"),
 			RaftAddr: addr(), HTTPAddr: addr(), AdminAddr: addr(), Bootstrap: i == 0,
-			MaxStale: time.Second, KeepChanges: 4096, SnapshotEvery: 8192, TrailingLogs: 1024}
+			MaxStale: time.Second, ElectionTimeout: election, KeepChanges: 4096, SnapshotEvery: 8192, TrailingLogs: 1024}
 	}
 	nodes := make([]*listsvc.Node, 3)
 	for i := range cfgs {
@@ -56,7 +56,7 @@
 // time from the write's acknowledgement to a watcher's answer (0 where the answer came
 // first), and the p99 from the moment the write was sent, its commit included.
 func BenchmarkWatchFanout(b *testing.B) {
-	cfgs, _ := threeNodes(b)
+	cfgs, _ := threeNodes(b, time.Second)
 	admin := cfgs[0].AdminAddr
 	for v := uint64(0); v == 0; {
 		v = putVersion(admin, "warm")
@@ -141,12 +141,19 @@
 }
 
 // BenchmarkFailover: three instances; each iteration closes the leader and measures the
-// time until a write at one of the others is acknowledged. Reported: ms per failover.
+// time until a write at one of the others is acknowledged. Reported: ms per failover, with
+// Raft's timeouts at their default of 1 s and at 500 ms.
 func BenchmarkFailover(b *testing.B) {
+	for _, election := range []time.Duration{time.Second, 500 * time.Millisecond} {
+		b.Run(fmt.Sprint("election=", election), func(b *testing.B) { failover(b, election) })
+	}
+}
+
+func failover(b *testing.B, election time.Duration) {
 	var total time.Duration
 	for i := 0; i < b.N; i++ {
 		b.StopTimer()
-		cfgs, nodes := threeNodes(b)
+		cfgs, nodes := threeNodes(b, election)
 		lead := -1
 		for lead < 0 {
 			for j, c := range cfgs {
--- a/internal/listsvc/config.go
+++ b/internal/listsvc/config.go
@@ -34,6 +34,9 @@
 	// steps down within Raft's leader lease (0.5 s), so reads are at most MaxStale + 0.5 s
 	// behind.
 	MaxStale time.Duration `toml:"max_stale"`
+	// ElectionTimeout is Raft's heartbeat and election timeout; the leader lease is half of
+	// it. Shorter fails over sooner and elects needlessly on a busy machine. Default 1 s.
+	ElectionTimeout time.Duration `toml:"election_timeout"`
 	// KeepChanges bounds the changes kept for watches; a watch from before them gets
 	// the whole list. Default 4096.
 	KeepChanges int `toml:"keep_changes"`
@@ -66,6 +69,9 @@
 	if c.MaxStale == 0 {
 		c.MaxStale = 2 * time.Second
 	}
+	if c.ElectionTimeout == 0 {
+		c.ElectionTimeout = time.Second
+	}
 	if c.KeepChanges == 0 {
 		c.KeepChanges = 4096
 	}
@@ -86,6 +92,8 @@
 		return errors.New("key data_dir: missing")
 	case c.MaxStale < 0:
 		return errors.New("key max_stale: below zero")
+	case c.ElectionTimeout < 10*time.Millisecond:
+		return errors.New("key election_timeout: under 10 ms")
 	case c.KeepChanges < 1:
 		return errors.New("key keep_changes: below one")
 	}
