--- a/cmd/fernlist/main.go
+++ b/cmd/fernlist/main.go
@@ -76,7 +76,7 @@
 			return call(http.MethodPut, admin, "/v1/servers/"+t.ID, body)
 		}}
 	f := cmd.Flags()
-	f.StringVar(&admin, "admin", "127.0.0.1:7401", "admin address of any instance (host:port)")
+	adminFlag(cmd, &admin)
 	f.StringVar(&t.Addr, "addr", "", "the server's address, host:port")
 	f.StringVar(&t.Zone, "zone", "", "its zone")
 	f.StringVar(&t.Region, "region", "", "its region")
@@ -94,7 +94,7 @@
 		RunE: func(_ *cobra.Command, args []string) error {
 			return call(http.MethodDelete, admin, "/v1/servers/"+args[0], nil)
 		}}
-	cmd.Flags().StringVar(&admin, "admin", "127.0.0.1:7401", "admin address of any instance (host:port)")
+	adminFlag(cmd, &admin)
 	return cmd
 }
 
@@ -104,10 +104,15 @@
 		RunE: func(*cobra.Command, []string) error {
 			return call(http.MethodGet, admin, "/v1/status", nil)
 		}}
-	cmd.Flags().StringVar(&admin, "admin", "127.0.0.1:7401", "admin address of any instance (host:port)")
+	adminFlag(cmd, &admin)
 	return cmd
 }
 
+// adminFlag is the --admin flag of the commands that write or ask an instance.
+func adminFlag(cmd *cobra.Command, admin *string) {
+	cmd.Flags().StringVar(admin, "admin", "127.0.0.1:7401", "admin address of any instance (host:port)")
+}
+
 // call makes one admin call, following a redirect to the leader, and prints the answer.
 func call(method, admin, path string, body []byte) error {
 	req, err := http.NewRequest(method, "http://"+admin+path, bytes.NewReader(body))
--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -84,7 +84,7 @@
 	if p == nil {
 		return fmt.Errorf("cluster: no process %q", name)
 	}
-	if p.running() {
+	if _, _, ok := c.live(name); ok {
 		return fmt.Errorf("cluster: %s is running", name)
 	}
 	var files []*os.File
@@ -124,15 +124,19 @@
 	return nil
 }
 
-func (p *proc) running() bool {
-	if p.done == nil {
-		return false
+// live is a process's command and the channel that closes at its end, if it runs.
+func (c *Cluster) live(name string) (*exec.Cmd, <-chan struct{}, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	p := c.procs[name]
+	if p == nil || p.done == nil {
+		return nil, nil, false
 	}
 	select {
 	case <-p.done:
-		return false
+		return nil, nil, false
 	default:
-		return true
+		return p.cmd, p.done, true
 	}
 }
 
@@ -144,16 +148,14 @@
 func (c *Cluster) Term(name string) error { return c.stop(name, syscall.SIGTERM, "term") }
 
 func (c *Cluster) stop(name string, sig syscall.Signal, what string) error {
-	c.mu.Lock()
-	p := c.procs[name]
-	c.mu.Unlock()
-	if p == nil || !p.running() {
+	cmd, done, ok := c.live(name)
+	if !ok {
 		return nil
 	}
 	c.Note(name, what, "")
-	p.cmd.Process.Signal(sig)
-	p.cmd.Process.Signal(syscall.SIGCONT)
-	<-p.done
+	cmd.Process.Signal(sig)
+	cmd.Process.Signal(syscall.SIGCONT)
+	<-done
 	return nil
 }
 
@@ -162,14 +164,12 @@
 func (c *Cluster) Resume(name string) error { return c.signal(name, syscall.SIGCONT, "resume") }
 
 func (c *Cluster) signal(name string, sig syscall.Signal, what string) error {
-	c.mu.Lock()
-	p := c.procs[name]
-	c.mu.Unlock()
-	if p == nil || !p.running() {
+	cmd, _, ok := c.live(name)
+	if !ok {
 		return fmt.Errorf("cluster: %s is not running", name)
 	}
 	c.Note(name, what, "")
-	return p.cmd.Process.Signal(sig)
+	return cmd.Process.Signal(sig)
 }
 
 // Restart kills a process if it runs and starts it again on the same ports.
--- a/internal/listsvc/bench_test.go
+++ b/internal/listsvc/bench_test.go
@@ -9,7 +9,6 @@
 	"net/http"
 	"path/filepath"
 	"slices"
-	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -59,7 +58,7 @@
 	cfgs, _ := threeNodes(b, time.Second)
 	admin := cfgs[0].AdminAddr
 	for v := uint64(0); v == 0; {
-		v = putVersion(admin, "warm")
+		v = write(admin, "warm")
 		time.Sleep(50 * time.Millisecond)
 	}
 	const watchers = 1000
@@ -106,7 +105,7 @@
 	b.ResetTimer()
 	for i := 0; i < b.N; i++ {
 		sent = append(sent, time.Now())
-		putVersion(admin, fmt.Sprint("s-", i))
+		write(admin, fmt.Sprint("s-", i))
 		acked = append(acked, time.Now())
 		for range watchers {
 			<-seen
@@ -127,19 +126,6 @@
 	wg.Wait()
 }
 
-func putVersion(admin, id string) uint64 {
-	body := fmt.Sprintf(`{"id":%q,"addr":"127.0.0.1:9","zone":"a","state":"up","weight":1}`, id)
-	req, _ := http.NewRequest(http.MethodPut, "http://"+admin+"/v1/servers/"+id, strings.NewReader(body))
-	resp, err := http.DefaultClient.Do(req)
-	if err != nil {
-		return 0
-	}
-	defer resp.Body.Close()
-	var v struct{ Version uint64 }
-	json.NewDecoder(resp.Body).Decode(&v)
-	return v.Version
-}
-
 // BenchmarkFailover: three instances; each iteration closes the leader and measures the
 // time until a write at one of the others is acknowledged. Reported: ms per failover, with
 // Raft's timeouts at their default of 1 s and at 500 ms.
@@ -157,7 +143,7 @@
 		lead := -1
 		for lead < 0 {
 			for j, c := range cfgs {
-				if putVersion(c.AdminAddr, "warm") != 0 && leaderAt(c.AdminAddr) == c.ID {
+				if write(c.AdminAddr, "warm") != 0 && statusAt(c.AdminAddr).Leader == c.ID {
 					lead = j
 				}
 			}
@@ -166,21 +152,10 @@
 		start := time.Now()
 		nodes[lead].Close()
 		other := cfgs[(lead+1)%3].AdminAddr
-		for putVersion(other, fmt.Sprint("after-", i)) == 0 {
+		for write(other, fmt.Sprint("after-", i)) == 0 {
 			time.Sleep(5 * time.Millisecond)
 		}
 		total += time.Since(start)
 	}
 	b.ReportMetric(float64(total.Milliseconds())/float64(b.N), "ms/failover")
 }
-
-func leaderAt(admin string) string {
-	resp, err := http.Get("http://" + admin + "/v1/status")
-	if err != nil {
-		return ""
-	}
-	defer resp.Body.Close()
-	var st listsvc.Status
-	json.NewDecoder(resp.Body).Decode(&st)
-	return st.Leader
-}
--- a/internal/listsvc/faults_test.go
+++ b/internal/listsvc/faults_test.go
@@ -67,8 +67,9 @@
 	}
 }
 
-func status(c *cluster.Cluster, name string) (st listsvc.Status) {
-	resp, err := http.Get("http://" + c.Addr(name, "admin") + "/v1/status")
+// statusAt is an instance's status by its admin address; zero where it does not answer.
+func statusAt(admin string) (st listsvc.Status) {
+	resp, err := http.Get("http://" + admin + "/v1/status")
 	if err == nil {
 		json.NewDecoder(resp.Body).Decode(&st)
 		resp.Body.Close()
@@ -78,48 +79,45 @@
 
 func leader(c *cluster.Cluster) string {
 	for _, n := range names {
-		if status(c, n).State == "Leader" {
+		if statusAt(c.Addr(n, "admin")).State == "Leader" {
 			return n
 		}
 	}
 	return ""
 }
 
+// writer makes the tests' writes: longer than a write may wait for its commit.
+var writer = &http.Client{Timeout: 6 * time.Second}
+
+// write puts one entry at an admin address, following a redirect to the leader; it gives
+// the acknowledged write's version, or 0 where it was not acknowledged.
+func write(admin, id string) uint64 {
+	body, _ := json.Marshal(targets.Target{ID: id, Addr: "127.0.0.1:9", Zone: "a", State: "up", Weight: 1})
+	req, _ := http.NewRequest(http.MethodPut, "http://"+admin+"/v1/servers/"+id, bytes.NewReader(body))
+	resp, err := writer.Do(req)
+	if err != nil {
+		return 0
+	}
+	defer resp.Body.Close()
+	var v struct{ Version uint64 }
+	if resp.StatusCode != http.StatusOK || json.NewDecoder(resp.Body).Decode(&v) != nil {
+		return 0
+	}
+	return v.Version
+}
+
 // put writes one entry through any instance, moving on at a failure; it gives the
-// version of the acknowledged write, or 0 if none was acknowledged within its tries.
+// version of the acknowledged write, or 0 if none was acknowledged within 20 s.
 func put(c *cluster.Cluster, id string) uint64 {
-	body, _ := json.Marshal(targets.Target{ID: id, Addr: "127.0.0.1:9", Zone: "a", State: "up", Weight: 1})
-	client := &http.Client{Timeout: 5 * time.Second}
 	for try, end := 0, time.Now().Add(20*time.Second); time.Now().Before(end); try++ {
-		req, _ := http.NewRequest(http.MethodPut, "http://"+c.Addr(names[try%3], "admin")+"/v1/servers/"+id,
-			bytes.NewReader(body))
-		resp, err := client.Do(req)
-		if err == nil {
-			var v struct{ Version uint64 }
-			json.NewDecoder(resp.Body).Decode(&v)
-			resp.Body.Close()
-			if resp.StatusCode == http.StatusOK {
-				return v.Version
-			}
+		if v := write(c.Addr(names[try%3], "admin"), id); v != 0 {
+			return v
 		}
 		time.Sleep(20 * time.Millisecond)
 	}
 	return 0
 }
 
-// putAt writes one entry at one instance, following its redirect, and tells whether it
-// was acknowledged.
-func putAt(c *cluster.Cluster, name, id string) bool {
-	body, _ := json.Marshal(targets.Target{ID: id, Addr: "127.0.0.1:9", Zone: "a", State: "up", Weight: 1})
-	req, _ := http.NewRequest(http.MethodPut, "http://"+c.Addr(name, "admin")+"/v1/servers/"+id, bytes.NewReader(body))
-	resp, err := (&http.Client{Timeout: 6 * time.Second}).Do(req)
-	if err != nil {
-		return false
-	}
-	resp.Body.Close()
-	return resp.StatusCode == http.StatusOK
-}
-
 // listed tells whether an instance's whole list names the id.
 func listed(c *cluster.Cluster, name, id string) bool {
 	resp, err := http.Get("http://" + c.Addr(name, "http") + "/api/targets")
--- a/internal/listsvc/list.go
+++ b/internal/listsvc/list.go
@@ -75,9 +75,14 @@
 		l.changes = slices.Delete(l.changes, 0, over)
 	}
 	l.version = entry.Index
+	l.wakeWatches()
+	return l.version
+}
+
+// wakeWatches wakes every watch that waits; the caller holds mu.
+func (l *list) wakeWatches() {
 	close(l.wake)
 	l.wake = make(chan struct{})
-	return l.version
 }
 
 // since is the answer to a watch from version: the changes after it, each server once
@@ -161,8 +166,7 @@
 	if l.setAt == nil {
 		l.setAt = map[string]uint64{}
 	}
-	close(l.wake)
-	l.wake = make(chan struct{})
+	l.wakeWatches()
 	return nil
 }
 
--- a/internal/listsvc/partition_test.go
+++ b/internal/listsvc/partition_test.go
@@ -40,10 +40,10 @@
 			}
 		}
 		id := fmt.Sprintf("cut-%d", i)
-		if putAt(c, old, id) {
+		if write(c.Addr(old, "admin"), id) != 0 {
 			t.Errorf("%s acknowledged by %s, cut off from the majority %v after the cut", id, old, time.Since(cut))
 		}
-		if id := fmt.Sprintf("major-%d", i); putAt(c, rest[i%2], id) {
+		if id := fmt.Sprintf("major-%d", i); write(c.Addr(rest[i%2], "admin"), id) != 0 {
 			acked[id] = true
 		}
 		time.Sleep(50 * time.Millisecond)
