One silent discovery for the program's tests

Need: reading the change again found the same silent discovery server (it answers no call while the test's patience lasts) written out twice in cmd/ringtrack's tests, with its two closing defers.

Change: silentDiscovery gives its address and closes it, its connections first, at the test's end through t.Cleanup. The tests assert what they did.

--- a/cmd/ringtrack/main_test.go
+++ b/cmd/ringtrack/main_test.go
@@ -73,16 +73,9 @@
 		fmt.Fprint(w, "done")
 	}))
 	defer backend.Close()
-	discovery := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		select {
-		case <-r.Context().Done():
-		case <-time.After(patience):
-		}
-	}))
-	defer discovery.Close()
-	defer discovery.CloseClientConnections()
+	discovery := silentDiscovery(t)
 	config, err := json.Marshal(map[string]any{
-		"name": "n1", "listen": "127.0.0.1:0", "discovery": discovery.Listener.Addr().String(), "seed": "1",
+		"name": "n1", "listen": "127.0.0.1:0", "discovery": discovery, "seed": "1",
 		"limits": map[string]any{"cores": 1, "memory_mb": 64, "sockets": 256},
 		"known": map[string]any{"version": 1, "full": true, "servers": []any{map[string]any{"id": "s-1",
 			"addr": backend.Listener.Addr().String(), "zone": "east", "kind": "big", "state": "up", "weight": 1}}},
@@ -287,14 +280,7 @@
 func TestUpgradeOnAnInheritedListener(t *testing.T) {
 	backend := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { fmt.Fprint(w, "done") }))
 	defer backend.Close()
-	discovery := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		select {
-		case <-r.Context().Done():
-		case <-time.After(patience):
-		}
-	}))
-	defer discovery.Close()
-	defer discovery.CloseClientConnections()
+	discovery := silentDiscovery(t)
 	clients, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -306,7 +292,7 @@
 	}
 	defer queue.Close()
 	config, err := json.Marshal(map[string]any{
-		"name": "n1", "listen": clients.Addr().String(), "discovery": discovery.Listener.Addr().String(), "seed": "1",
+		"name": "n1", "listen": clients.Addr().String(), "discovery": discovery, "seed": "1",
 		"management": "127.0.0.1:0",
 		"limits":     map[string]any{"cores": 1, "memory_mb": 64, "sockets": 256},
 		"known": map[string]any{"version": 1, "full": true, "servers": []any{map[string]any{"id": "s-1",
@@ -423,3 +409,17 @@
 		t.Errorf("the new process ended with %v", err)
 	}
 }
+
+// silentDiscovery is a discovery that answers no call while the test's patience lasts; it
+// gives its address and is closed, its connections first, when the test ends.
+func silentDiscovery(t *testing.T) string {
+	d := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		select {
+		case <-r.Context().Done():
+		case <-time.After(patience):
+		}
+	}))
+	t.Cleanup(d.Close)
+	t.Cleanup(d.CloseClientConnections)
+	return d.Listener.Addr().String()
+}
