--- /dev/null
+++ b/cmd/fernlist/main.go
@@ -0,0 +1,128 @@
+// Command fernlist is the project's list service and its fleet tools: serve runs one
+// instance (internal/listsvc), put and remove write the list through any instance's admin
+// door, status tells an instance's state.
+package main
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"clayproxy.example/clayproxy/internal/listsvc"
+	"clayproxy.example/clayproxy/internal/targets"
+)
+
+func main() {
+	if err := root().Execute(); err != nil {
+		fmt.Fprintln(os.Stderr, "fernlist:", err)
+		os.Exit(1)
+	}
+}
+
+func root() *cobra.Command {
+	cmd := &cobra.Command{Use: "fernlist", Short: "the replicated list service and its tools",
+		SilenceUsage: true, SilenceErrors: true}
+	cmd.AddCommand(serveCmd(), putCmd(), removeCmd(), statusCmd())
+	return cmd
+}
+
+func serveCmd() *cobra.Command {
+	var path, format string
+	cmd := &cobra.Command{Use: "serve", Short: "run one instance until SIGTERM or SIGINT",
+		RunE: func(*cobra.Command, []string) error {
+			cfg, err := listsvc.Load(path)
+			if err != nil {
+				return err
+			}
+			log := logger(format).With("node", cfg.ID)
+			node, err := listsvc.Start(cfg, log)
+			if err != nil {
+				return err
+			}
+			log.Info("serving", "http", cfg.HTTPAddr, "admin", cfg.AdminAddr, "raft", cfg.RaftAddr)
+			sig := make(chan os.Signal, 1)
+			signal.Notify(sig, syscall.SIGTERM, syscall.SIGINT)
+			log.Info("stopping", "signal", (<-sig).String())
+			return node.Close()
+		}}
+	cmd.Flags().StringVar(&path, "config", "fernlist.toml", "TOML file of the instance (see internal/listsvc.Config)")
+	cmd.Flags().StringVar(&format, "log-format", "text", "log records as text or json, on standard error")
+	return cmd
+}
+
+func logger(format string) *slog.Logger {
+	if format == "json" {
+		return slog.New(slog.NewJSONHandler(os.Stderr, nil))
+	}
+	return slog.New(slog.NewTextHandler(os.Stderr, nil))
+}
+
+func putCmd() *cobra.Command {
+	var admin string
+	var t targets.Target
+	cmd := &cobra.Command{Use: "put ID", Short: "set a server's entry whole", Args: cobra.ExactArgs(1),
+		RunE: func(_ *cobra.Command, args []string) error {
+			t.ID = args[0]
+			body, _ := json.Marshal(t)
+			return call(http.MethodPut, admin, "/v1/servers/"+t.ID, body)
+		}}
+	f := cmd.Flags()
+	f.StringVar(&admin, "admin", "127.0.0.1:7401", "admin address of any instance (host:port)")
+	f.StringVar(&t.Addr, "addr", "", "the server's address, host:port")
+	f.StringVar(&t.Zone, "zone", "", "its zone")
+	f.StringVar(&t.Region, "region", "", "its region")
+	f.StringVar(&t.Kind, "kind", "", "its kind of machine")
+	f.IntVar(&t.Cell, "cell", 0, "its cell")
+	f.StringVar(&t.State, "state", "up", "up or draining")
+	f.Float64Var(&t.Weight, "weight", 1, "its weight, above zero")
+	f.Float64Var(&t.StartedMs, "started-ms", 0, "Unix time in ms of its last start; 0: long ago")
+	return cmd
+}
+
+func removeCmd() *cobra.Command {
+	var admin string
+	cmd := &cobra.Command{Use: "remove ID", Short: "take a server out of the list", Args: cobra.ExactArgs(1),
+		RunE: func(_ *cobra.Command, args []string) error {
+			return call(http.MethodDelete, admin, "/v1/servers/"+args[0], nil)
+		}}
+	cmd.Flags().StringVar(&admin, "admin", "127.0.0.1:7401", "admin address of any instance (host:port)")
+	return cmd
+}
+
+func statusCmd() *cobra.Command {
+	var admin string
+	cmd := &cobra.Command{Use: "status", Short: "an instance's Raft state, leader and version",
+		RunE: func(*cobra.Command, []string) error {
+			return call(http.MethodGet, admin, "/v1/status", nil)
+		}}
+	cmd.Flags().StringVar(&admin, "admin", "127.0.0.1:7401", "admin address of any instance (host:port)")
+	return cmd
+}
+
+// call makes one admin call, following a redirect to the leader, and prints the answer.
+func call(method, admin, path string, body []byte) error {
+	req, err := http.NewRequest(method, "http://"+admin+path, bytes.NewReader(body))
+	if err != nil {
+		return err
+	}
+	resp, err := (&http.Client{Timeout: 10 * time.Second}).Do(req)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	text, _ := io.ReadAll(io.LimitReader(resp.Body, 1<<20))
+	if resp.StatusCode != http.StatusOK {
+		return fmt.Errorf("%s %s: %s: %s", method, path, resp.Status, bytes.TrimSpace(text))
+	}
+	_, err = os.Stdout.Write(text)
+	return err
+}
--- a/internal/agent/discovery.go
+++ b/internal/agent/discovery.go
@@ -15,26 +15,14 @@
 	"golang.org/x/time/rate"
 
 	"clayproxy.example/clayproxy/internal/events"
+	"clayproxy.example/clayproxy/internal/targets"
 )
 
-// List is discovery's answer: the whole list or what changed.
-type List struct {
-	Version uint64   `json:"version"`
-	Full    bool     `json:"full"`
-	Servers []Target `json:"servers"`
-}
-
-// Target is one backend as discovery lists it.
-type Target struct {
-	ID        string  `json:"id"`
-	Addr      string  `json:"addr"`
-	Zone      string  `json:"zone"`
-	Kind      string  `json:"kind"`
-	Cell      int     `json:"cell"`
-	State     string  `json:"state"`
-	Weight    float64 `json:"weight"`
-	StartedMs float64 `json:"started_ms"`
-}
+// List and Target are the protocol's shapes, shared with the list service.
+type (
+	List   = targets.List
+	Target = targets.Target
+)
 
 const (
 	// watchWait is how long one call of a watch may stand. Longer ones would only
--- /dev/null
+++ b/internal/listsvc/list.go
@@ -0,0 +1,167 @@
+package listsvc
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+	"sync"
+
+	"github.com/hashicorp/raft"
+
+	"clayproxy.example/clayproxy/internal/targets"
+)
+
+// command is one write of the list, as it goes through the Raft log: Op "put" sets a
+// server's entry whole, Op "remove" takes it out (a change that says "removed").
+type command struct {
+	Op     string         `json:"op"`
+	Server targets.Target `json:"server"`
+}
+
+// change is one entry as a write left it, with the Raft index of that write.
+type change struct {
+	Index  uint64         `json:"index"`
+	Server targets.Target `json:"server"`
+}
+
+// list is the replicated state machine (raft.FSM): the servers by id and the last
+// changes. version is the index of the last change; every change after floor is kept.
+type list struct {
+	mu      sync.RWMutex
+	servers map[string]targets.Target
+	changes []change
+	version uint64
+	floor   uint64
+	keep    int
+	wake    chan struct{} // closed and replaced at each change
+}
+
+func newList(keep int) *list {
+	return &list{servers: map[string]targets.Target{}, keep: keep, wake: make(chan struct{})}
+}
+
+// Apply carries out one committed write and returns the version after it (uint64), or
+// an error for a command it cannot read (such a command changes nothing).
+func (l *list) Apply(entry *raft.Log) any {
+	var c command
+	if err := json.Unmarshal(entry.Data, &c); err != nil {
+		return fmt.Errorf("listsvc: log entry %d is not a command: %w", entry.Index, err)
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	old, had := l.servers[c.Server.ID]
+	switch {
+	case c.Op == "put" && (!had || old != c.Server):
+		l.servers[c.Server.ID] = c.Server
+	case c.Op == "remove" && had:
+		delete(l.servers, c.Server.ID)
+		c.Server = old
+		c.Server.State = "removed"
+	default:
+		return l.version // nothing changed: no new version
+	}
+	l.changes = append(l.changes, change{Index: entry.Index, Server: c.Server})
+	if over := len(l.changes) - l.keep; over > 0 {
+		l.floor = l.changes[over-1].Index
+		l.changes = slices.Delete(l.changes, 0, over)
+	}
+	l.version = entry.Index
+	close(l.wake)
+	l.wake = make(chan struct{})
+	return l.version
+}
+
+// since is the answer to a watch from version: the changes after it, each server once
+// in its last form, or the whole list where changes after it are no longer all kept.
+// It also gives the channel that closes at the next change.
+func (l *list) since(version uint64, full bool) (targets.List, <-chan struct{}) {
+	l.mu.RLock()
+	defer l.mu.RUnlock()
+	out := targets.List{Version: max(l.version, version), Servers: []targets.Target{}}
+	if full || version < l.floor {
+		out.Version, out.Full, out.Servers = l.version, true, l.all()
+	} else {
+		last := map[string]int{}
+		for _, c := range l.changes {
+			if c.Index <= version {
+				continue
+			}
+			if i, ok := last[c.Server.ID]; ok {
+				out.Servers[i] = c.Server
+				continue
+			}
+			last[c.Server.ID] = len(out.Servers)
+			out.Servers = append(out.Servers, c.Server)
+		}
+	}
+	slices.SortFunc(out.Servers, byID)
+	return out, l.wake
+}
+
+// all is every listed server by id; the caller holds mu.
+func (l *list) all() []targets.Target {
+	out := make([]targets.Target, 0, len(l.servers))
+	for _, s := range l.servers {
+		out = append(out, s)
+	}
+	slices.SortFunc(out, byID)
+	return out
+}
+
+func byID(a, b targets.Target) int { return strings.Compare(a.ID, b.ID) }
+
+// current is the version of the last change applied here.
+func (l *list) current() uint64 {
+	l.mu.RLock()
+	defer l.mu.RUnlock()
+	return l.version
+}
+
+// image is what a snapshot holds.
+type image struct {
+	Version uint64           `json:"version"`
+	Floor   uint64           `json:"floor"`
+	Servers []targets.Target `json:"servers"`
+	Changes []change         `json:"changes"`
+}
+
+// Snapshot keeps the whole state, changes too, so that a watch resumes across a
+// restart from a snapshot (raft.FSM).
+func (l *list) Snapshot() (raft.FSMSnapshot, error) {
+	l.mu.RLock()
+	defer l.mu.RUnlock()
+	return image{Version: l.version, Floor: l.floor, Servers: l.all(), Changes: slices.Clone(l.changes)}, nil
+}
+
+// Restore replaces the state by a snapshot's (raft.FSM); watchers are woken.
+func (l *list) Restore(r io.ReadCloser) error {
+	defer r.Close()
+	var im image
+	if err := json.NewDecoder(r).Decode(&im); err != nil {
+		return fmt.Errorf("listsvc: snapshot unreadable: %w", err)
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.servers = map[string]targets.Target{}
+	for _, s := range im.Servers {
+		l.servers[s.ID] = s
+	}
+	l.changes, l.version, l.floor = im.Changes, im.Version, im.Floor
+	close(l.wake)
+	l.wake = make(chan struct{})
+	return nil
+}
+
+// Persist writes the image to a snapshot sink (raft.FSMSnapshot).
+func (im image) Persist(sink raft.SnapshotSink) error {
+	if err := json.NewEncoder(sink).Encode(im); err != nil {
+		sink.Cancel()
+		return fmt.Errorf("listsvc: snapshot not written: %w", err)
+	}
+	return sink.Close()
+}
+
+// Release is part of raft.FSMSnapshot; an image holds nothing to release.
+func (im image) Release() {}
--- /dev/null
+++ b/internal/listsvc/node.go
@@ -0,0 +1,184 @@
+// Package listsvc is one instance of the project's list service: the discovery protocol of
+// PROTOCOL-fernbeam.md ("Discovery": GET /api/targets, watches by ?index=N&wait=MS, whole
+// or partial answers) served from a list that three to five instances replicate with Raft
+// (Ongaro and Ousterhout, "In Search of an Understandable Consensus Algorithm", 2014;
+// github.com/hashicorp/raft). The version a watch sees is the Raft index of the last change.
+package listsvc
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/hashicorp/raft"
+	raftboltdb "github.com/hashicorp/raft-boltdb/v2"
+)
+
+// dataFormat is the layout of a data directory that this program writes and reads.
+const dataFormat = 1
+
+// Node is one running instance: its Raft member, its list, and its two HTTP doors.
+type Node struct {
+	cfg    Config
+	log    *slog.Logger
+	list   *list
+	raft   *raft.Raft
+	store  *raftboltdb.BoltStore
+	peers  map[raft.ServerID]Peer
+	doors  []*http.Server
+	closed chan struct{}
+}
+
+// Start opens the data directory, joins or founds the cluster, and serves reads on
+// cfg.HTTPAddr and writes on cfg.AdminAddr until Close. Errors name what failed: a data
+// directory of a newer format, a listener, the store.
+func Start(cfg Config, log *slog.Logger) (*Node, error) {
+	if err := cfg.Validate(); err != nil {
+		return nil, err
+	}
+	if err := claimDir(cfg.DataDir); err != nil {
+		return nil, err
+	}
+	n := &Node{cfg: cfg, log: log, list: newList(cfg.KeepChanges), peers: map[raft.ServerID]Peer{},
+		closed: make(chan struct{})}
+	for _, p := range cfg.Peers {
+		n.peers[raft.ServerID(p.ID)] = p
+	}
+	ln, err := listen(cfg.RaftAddr)
+	if err != nil {
+		return nil, fmt.Errorf("raft_addr: %w", err)
+	}
+	n.peers[raft.ServerID(cfg.ID)] = Peer{ID: cfg.ID, Raft: ln.Addr().String(), Admin: cfg.AdminAddr}
+	if err := n.startRaft(ln); err != nil {
+		ln.Close()
+		return nil, err
+	}
+	for _, door := range []struct {
+		addr string
+		h    http.Handler
+	}{{cfg.HTTPAddr, n.readMux()}, {cfg.AdminAddr, n.adminMux()}} {
+		ln, err := listen(door.addr)
+		if err != nil {
+			n.Close()
+			return nil, fmt.Errorf("listen %s: %w", door.addr, err)
+		}
+		srv := &http.Server{Handler: door.h, ReadHeaderTimeout: 5 * time.Second}
+		n.doors = append(n.doors, srv)
+		go srv.Serve(ln)
+	}
+	return n, nil
+}
+
+func (n *Node) startRaft(ln net.Listener) error {
+	cfg := n.cfg
+	rc := raft.DefaultConfig()
+	rc.LocalID = raft.ServerID(cfg.ID)
+	rc.SnapshotThreshold, rc.TrailingLogs = cfg.SnapshotEvery, cfg.TrailingLogs
+	rc.Logger = hclog.New(&hclog.LoggerOptions{Name: "raft", Level: hclog.Warn, Output: os.Stderr})
+	store, err := raftboltdb.NewBoltStore(filepath.Join(cfg.DataDir, "raft.db"))
+	if err != nil {
+		return fmt.Errorf("data_dir: raft store: %w", err)
+	}
+	snaps, err := raft.NewFileSnapshotStoreWithLogger(cfg.DataDir, 2, rc.Logger)
+	if err != nil {
+		store.Close()
+		return fmt.Errorf("data_dir: snapshots: %w", err)
+	}
+	trans := raft.NewNetworkTransportWithConfig(&raft.NetworkTransportConfig{
+		ServerAddressProvider: n, Stream: stream{ln}, MaxPool: 3, Timeout: 2 * time.Second,
+		Logger: rc.Logger})
+	r, err := raft.NewRaft(rc, n.list, store, store, snaps, trans)
+	if err != nil {
+		store.Close()
+		return fmt.Errorf("raft: %w", err)
+	}
+	n.raft, n.store = r, store
+	if !cfg.Bootstrap {
+		return nil
+	}
+	had, err := raft.HasExistingState(store, store, snaps)
+	if err != nil || had {
+		return err
+	}
+	members := raft.Configuration{Servers: []raft.Server{{ID: rc.LocalID, Address: trans.LocalAddr()}}}
+	for _, p := range cfg.Peers {
+		members.Servers = append(members.Servers, raft.Server{ID: raft.ServerID(p.ID), Address: raft.ServerAddress(p.Raft)})
+	}
+	return r.BootstrapCluster(members).Error()
+}
+
+// ServerAddr is where this instance reaches a peer's Raft (raft.ServerAddressProvider):
+// its own table, so that each instance may reach the others by an address of its own.
+func (n *Node) ServerAddr(id raft.ServerID) (raft.ServerAddress, error) {
+	if p, ok := n.peers[id]; ok {
+		return raft.ServerAddress(p.Raft), nil
+	}
+	return "", fmt.Errorf("listsvc: no peer %q in the table", id)
+}
+
+// Close stops serving and leaves Raft; the data directory keeps everything acknowledged.
+func (n *Node) Close() error {
+	select {
+	case <-n.closed:
+		return nil
+	default:
+		close(n.closed)
+	}
+	for _, d := range n.doors {
+		d.Close()
+	}
+	err := n.raft.Shutdown().Error()
+	return errors.Join(err, n.store.Close())
+}
+
+// claimDir makes the data directory or checks that its format is one this program reads.
+func claimDir(dir string) error {
+	if err := os.MkdirAll(dir, 0o755); err != nil {
+		return fmt.Errorf("data_dir: %w", err)
+	}
+	path := filepath.Join(dir, "FORMAT")
+	text, err := os.ReadFile(path)
+	if errors.Is(err, os.ErrNotExist) {
+		return os.WriteFile(path, []byte(strconv.Itoa(dataFormat)+"\n"), 0o644)
+	}
+	if err != nil {
+		return fmt.Errorf("data_dir: %w", err)
+	}
+	got, err := strconv.Atoi(strings.TrimSpace(string(text)))
+	if err != nil || got > dataFormat {
+		return fmt.Errorf("data_dir %s: format %q, this program reads %d or older", dir, strings.TrimSpace(string(text)), dataFormat)
+	}
+	return nil
+}
+
+// listen opens a TCP listener at host:port, or takes an inherited one at "fd:N".
+func listen(addr string) (net.Listener, error) {
+	if fd, ok := strings.CutPrefix(addr, "fd:"); ok {
+		n, err := strconv.Atoi(fd)
+		if err != nil {
+			return nil, fmt.Errorf("%q: not a file descriptor", addr)
+		}
+		f := os.NewFile(uintptr(n), addr)
+		defer f.Close()
+		return net.FileListener(f)
+	}
+	return net.Listen("tcp", addr)
+}
+
+// stream is Raft's stream layer on a listener of ours (raft.StreamLayer).
+type stream struct{ net.Listener }
+
+func (s stream) Dial(addr raft.ServerAddress, timeout time.Duration) (net.Conn, error) {
+	return net.DialTimeout("tcp", string(addr), timeout)
+}
+
+var _ io.Closer = (*Node)(nil)
