--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -7,6 +7,8 @@
 	"net"
 	"sync"
 	"time"
+
+	"clayproxy.example/clayproxy/internal/fleet"
 )
 
 // Listeners are what one agent listens on.
@@ -45,9 +47,13 @@
 		defer close(ended)
 		l.run()
 	}()
+	view, err := joinFleet(cfg, f, l)
+	if err != nil {
+		return fmt.Errorf("agent: %w", err)
+	}
 	failed := make(chan error, 2)
 	if ln.Operators != nil {
-		m := newManagement(f)
+		m := newManagement(f, view)
 		defer m.close()
 		go func() { failed <- m.serve(ln.Operators) }()
 	}
@@ -89,15 +95,45 @@
 	if ln.Shared {
 		share.halve(ctx) // the other process is there, or comes
 	}
+	left := leaveFleet(view)
 	if err := f.shutdown(clients, ln.Shared, held); err != nil {
 		slog.Warn("shutdown", "err", err)
 	}
+	<-left
 	cancel()
 	<-ended
 	slog.Info("stopped", "figures", fmt.Sprintf("%+v", l.figures))
 	return nil
 }
 
+// joinFleet begins to take part in the fleet view, where the configuration has one. The loop
+// gets each view as a posted event; nothing in the loop waits for it.
+func joinFleet(cfg *Config, f *front, l *loop) (*fleet.Fleet, error) {
+	if cfg.Fleet == nil {
+		return nil, nil
+	}
+	c := *cfg.Fleet
+	c.OnView = func(v *fleet.View) { l.post(func() { l.onFleet(v) }) }
+	view, err := fleet.Start(c)
+	if err == nil {
+		f.onDrain = view.SetDraining
+	}
+	return view, err
+}
+
+// leaveFleet tells the others that this process ends, beside its last requests; what it gives
+// is closed once they are told.
+func leaveFleet(view *fleet.Fleet) <-chan struct{} {
+	left := make(chan struct{})
+	go func() {
+		defer close(left)
+		if view != nil {
+			view.Leave()
+		}
+	}()
+	return left
+}
+
 // MemoryLimit is the memory that the runtime is to keep within, long before the limit over
 // which the agent would be killed.
 func (c *Config) MemoryLimit() int64 { return int64(c.MemoryMB) << 20 * 3 / 4 }
--- a/internal/agent/config.go
+++ b/internal/agent/config.go
@@ -7,9 +7,11 @@
 	"math"
 	"net"
 	"os"
+	"runtime/debug"
 	"strconv"
 
 	"clayproxy.example/clayproxy/internal/events"
+	"clayproxy.example/clayproxy/internal/fleet"
 	"clayproxy.example/clayproxy/internal/wire"
 	"clayproxy.example/clayproxy/policy"
 )
@@ -29,6 +31,8 @@
 	Settings   events.Settings
 	Zones      []string // names of zones and of machine kinds, by the number the module knows
 	Kinds      []string
+	// Fleet is how this agent and the others keep a view of each other; nil: they do not.
+	Fleet *fleet.Config
 
 	text map[string]any // the file, to compare the next with
 }
@@ -46,6 +50,7 @@
 		Sockets  int     `json:"sockets"`
 	} `json:"limits"`
 	Known    List            `json:"known"`
+	Fleet    json.RawMessage `json:"fleet"`
 	Settings json.RawMessage `json:"settings"`
 
 	text map[string]any // all of it
@@ -202,6 +207,15 @@
 	if _, err := policy.New(c.Settings, c.Seed); err != nil {
 		return nil, fmt.Errorf("config: %w", err)
 	}
+	if len(f.Fleet) > 0 {
+		if c.Fleet, err = fleet.Parse(f.Fleet); err != nil {
+			return nil, fmt.Errorf("config: %w", err)
+		}
+		c.Fleet.Name, c.Fleet.Size = c.Name, c.Settings.Replicas
+		if c.Fleet.Version = version(); c.Sockets < minSockets+fleet.Sockets {
+			return nil, fmt.Errorf("config: limits.sockets: must be %d at least with a fleet, is %d", minSockets+fleet.Sockets, c.Sockets)
+		}
+	}
 	return c, nil
 }
 
@@ -211,5 +225,25 @@
 // clientConns and backendConns divide the descriptors: neither side can take
 // the other's, and the rest is for the listener, discovery, the log and the
 // runtime's own.
-func (c *Config) clientConns() int  { return c.Sockets * 7 / 16 }
-func (c *Config) backendConns() int { return c.Sockets * 7 / 16 }
+func (c *Config) clientConns() int  { return c.ownSockets() * 7 / 16 }
+func (c *Config) backendConns() int { return c.ownSockets() * 7 / 16 }
+
+// ownSockets are the descriptors but those that the fleet view takes, where there is one.
+func (c *Config) ownSockets() int {
+	if c.Fleet == nil {
+		return c.Sockets
+	}
+	return c.Sockets - fleet.Sockets
+}
+
+// version is the commit that the program was built from, as far as the build tells.
+func version() string {
+	if info, ok := debug.ReadBuildInfo(); ok {
+		for _, s := range info.Settings {
+			if s.Key == "vcs.revision" {
+				return s.Value[:min(len(s.Value), 12)]
+			}
+		}
+	}
+	return "unknown"
+}
--- a/internal/agent/front.go
+++ b/internal/agent/front.go
@@ -53,6 +53,7 @@
 	emptying atomic.Bool        // clients are sent away; set under mu
 	refill   context.CancelFunc // ends the emptying
 	ending   bool               // the front empties for good
+	onDrain  func(bool)         // told when emptying begins and ends; nil: nobody
 	closed   atomic.Bool        // nor are requests taken that are still coming
 
 	accepting sync.WaitGroup // serve, until it accepts no more
@@ -130,6 +131,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	f.refill = cancel
 	f.emptying.Store(true)
+	f.tellDrain(true)
 	go f.conns.empty(ctx)
 	return nil
 }
@@ -145,10 +147,18 @@
 		f.refill()
 		f.refill = nil
 		f.emptying.Store(false)
+		f.tellDrain(false)
 	}
 	return nil
 }
 
+// tellDrain tells who wants to know whether the front empties.
+func (f *front) tellDrain(on bool) {
+	if f.onDrain != nil {
+		f.onDrain(on)
+	}
+}
+
 // streamsFor is how long answers that are being passed on may take after the last request
 // has its answer. The platform kills long before; it is for those that do not.
 const streamsFor = time.Minute
--- a/internal/agent/loop.go
+++ b/internal/agent/loop.go
@@ -16,6 +16,7 @@
 	"golang.org/x/time/rate"
 
 	"clayproxy.example/clayproxy/internal/events"
+	"clayproxy.example/clayproxy/internal/fleet"
 	"clayproxy.example/clayproxy/policy"
 )
 
@@ -59,6 +60,7 @@
 	fetching bool
 	ready    func()
 	figures  figures
+	fleet    *fleet.View // nil: there is none
 }
 
 // figures are counted for the log: every few seconds, and at the end.
@@ -619,6 +621,12 @@
 	}
 }
 
+// onFleet takes a new view of the fleet. Nothing rests on it yet but the log.
+func (l *loop) onFleet(v *fleet.View) {
+	l.fleet = v
+	l.log(slog.LevelInfo, "fleet view", "number", v.Number, "present", v.Present, "of", v.Size, "digest", v.Digest)
+}
+
 // ---- the log ----
 
 func (l *loop) guard(what string, args ...any) {
--- a/internal/agent/management.go
+++ b/internal/agent/management.go
@@ -1,14 +1,19 @@
 package agent
 
 import (
+	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
 	"log/slog"
+	"math"
 	"net"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
+
+	"clayproxy.example/clayproxy/internal/fleet"
 )
 
 const (
@@ -29,6 +34,7 @@
 // it answers whatever the load.
 type management struct {
 	front  *front
+	fleet  *fleet.Fleet // nil: there is none
 	server *http.Server
 
 	mu     sync.Mutex
@@ -36,12 +42,15 @@
 	open   int
 }
 
-func newManagement(f *front) *management {
-	m := &management{front: f}
+func newManagement(f *front, fl *fleet.Fleet) *management {
+	m := &management{front: f, fleet: fl}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /ops/readiness", m.readiness)
 	mux.HandleFunc("PUT /ops/drain/start", m.whole(f.startDrain))
 	mux.HandleFunc("PUT /ops/drain/stop", m.whole(f.stopDrain))
+	if fl != nil {
+		mux.HandleFunc("GET /ops/fleet", m.members)
+	}
 	m.server = &http.Server{
 		Handler:        mux,
 		ReadTimeout:    callTime,
@@ -72,6 +81,24 @@
 	fmt.Fprintln(w, "serving")
 }
 
+// members answers with the fleet view, and with its changes after the number that "since"
+// gives, if it gives one.
+func (m *management) members(w http.ResponseWriter, req *http.Request) {
+	since := uint64(math.MaxUint64)
+	if s := req.FormValue("since"); s != "" {
+		n, err := strconv.ParseUint(s, 10, 64)
+		if err != nil {
+			http.Error(w, "since: no number", http.StatusBadRequest)
+			return
+		}
+		since = n
+	}
+	w.Header().Set("Content-Type", "application/json")
+	if err := json.NewEncoder(w).Encode(m.fleet.Status(since)); err != nil {
+		slog.Warn("fleet view not told", "to", req.RemoteAddr, "err", err)
+	}
+}
+
 // whole makes a call that does something once it has come whole: one cut off does nothing.
 func (m *management) whole(do func() error) http.HandlerFunc {
 	return func(w http.ResponseWriter, req *http.Request) {
--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -26,8 +26,10 @@
 	Dir    string   // where each process's log (NAME.log) and files go
 	Names  []string // the processes
 	Ports  []string // the names of each process's listeners, such as "raft" or "http"
-	// Args is the command line of a process (without the program's path).
+	// Args is the command line of a process (without the program's path); nil: none.
 	Args func(c *Cluster, name string) []string
+	// Env is what a process has in its environment beside the harness's own; nil: nothing.
+	Env func(name string) []string
 }
 
 // Cluster is a running set of processes and the proxies between them. Its methods are
@@ -50,8 +52,8 @@
 
 // New opens every process's listeners; nothing runs until Start.
 func New(cfg Config) (*Cluster, error) {
-	if cfg.Binary == "" || cfg.Dir == "" || len(cfg.Names) == 0 || cfg.Args == nil {
-		return nil, errors.New("cluster: Binary, Dir, Names and Args are all needed")
+	if cfg.Binary == "" || cfg.Dir == "" || len(cfg.Names) == 0 {
+		return nil, errors.New("cluster: Binary, Dir and Names are all needed")
 	}
 	c := &Cluster{cfg: cfg, start: time.Now(), procs: map[string]*proc{}, links: map[[2]string]*Link{}}
 	for _, name := range cfg.Names {
@@ -110,7 +112,13 @@
 		return err
 	}
 	defer logf.Close()
-	cmd := exec.Command(c.cfg.Binary, c.cfg.Args(c, name)...)
+	cmd := exec.Command(c.cfg.Binary)
+	if c.cfg.Args != nil {
+		cmd.Args = append(cmd.Args, c.cfg.Args(c, name)...)
+	}
+	if c.cfg.Env != nil {
+		cmd.Env = append(os.Environ(), c.cfg.Env(name)...)
+	}
 	cmd.Stdout, cmd.Stderr, cmd.ExtraFiles = logf, logf, files
 	if err := cmd.Start(); err != nil {
 		return fmt.Errorf("cluster: start %s: %w", name, err)
@@ -231,6 +239,23 @@
 	c.Note("", "heal", "")
 }
 
+// Names are the processes.
+func (c *Cluster) Names() []string { return c.cfg.Names }
+
+// Running tells whether a process runs (a paused one does).
+func (c *Cluster) Running(name string) bool {
+	_, _, ok := c.live(name)
+	return ok
+}
+
+// Pid is a running process's id, or 0.
+func (c *Cluster) Pid(name string) int {
+	if cmd, _, ok := c.live(name); ok {
+		return cmd.Process.Pid
+	}
+	return 0
+}
+
 // Close kills every process and closes every proxy.
 func (c *Cluster) Close() {
 	for _, name := range c.cfg.Names {
--- /dev/null
+++ b/internal/fleet/fleet.go
@@ -0,0 +1,427 @@
+// Package fleet is the view that the agents of a site keep of each other: who is there,
+// under which process, in which zone, and whether it drains. There is no server to it:
+// it is SWIM with Lifeguard's extensions (hashicorp/memberlist), and what that leaves out.
+//
+// Its invariants, which internal/fleetlab checks over the histories of many processes:
+// a process that runs and can be reached by somebody is never declared dead; an identity
+// that was replaced never returns; a leaver is neither doubted nor sought; incarnations and
+// view numbers never go back; and once faults have ended all live processes come to the
+// same digest, however long they were apart.
+//
+// What memberlist leaves out and this adds: its list is read whole (as the first half of a
+// push/pull with nobody), so that a view carries suspicion and incarnations; two sides that
+// declared each other dead find each other again; members compare digests in the answers
+// to probes and exchange their lists where these stay different; an address that refuses
+// calls shows at once that its process is gone; and packets and streams are checked before
+// memberlist, which trusts lengths that it is told, reads them.
+package fleet
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/binary"
+	"encoding/hex"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/hashicorp/memberlist"
+)
+
+const (
+	// snapshotEvery is how often the list is read at the most.
+	snapshotEvery = 100 * time.Millisecond
+	// stallAfter is how late the reader of the list may be before this process is taken
+	// to have stood still. What it then reads first is old: its timers have run out, and
+	// what answered them waits in its sockets. So nothing is published for wakeFor.
+	stallAfter = time.Second
+	wakeFor    = 500 * time.Millisecond
+	// bindEvery is how often a process looks whether the address that another process of
+	// its agent has is free.
+	bindEvery = 100 * time.Millisecond
+)
+
+// Fleet is this process's part in its fleet.
+type Fleet struct {
+	cfg     Config
+	process string
+	log     *logger
+	count   traffic
+	told    chan struct{} // of one: the list may have changed
+
+	view     atomic.Pointer[View]
+	list     atomic.Pointer[memberlist.Memberlist]
+	tr       *transport
+	draining atomic.Bool
+	stalls   atomic.Uint64
+	heals    atomic.Uint64 // tries to reach a member or a seed
+	syncs    atomic.Uint64 // exchanges with members that had another digest
+	gone     atomic.Uint64 // members that were declared dead as their address refused
+
+	mu      sync.Mutex
+	table   *table
+	names   map[string]bool // admitted since the last snapshot, and its names
+	differ  string          // a member whose digest was another, name/address
+	leaving bool
+
+	ctx    context.Context
+	cancel context.CancelFunc
+	tasks  sync.WaitGroup
+}
+
+// Start joins the fleet that cfg names, in the background: it returns before anybody has
+// answered, and an agent that finds nobody goes on alone and keeps trying. Where another
+// process of this machine has the address (the old one, in an upgrade), this one waits
+// until it has ended. The error is for a configuration that can't be used.
+func Start(cfg Config) (*Fleet, error) {
+	if err := cfg.complete(); err != nil {
+		return nil, err
+	}
+	if cfg.Name == "" || len(cfg.Name) > maxName || strings.ContainsAny(cfg.Name, "/@") {
+		return nil, fmt.Errorf("fleet: name %q: must have 1 to %d bytes and neither / nor @", cfg.Name, maxName)
+	}
+	if cfg.Size < 1 {
+		return nil, fmt.Errorf("fleet: the size of the fleet must be 1 at least, is %d", cfg.Size)
+	}
+	var id [8]byte
+	rand.Read(id[:]) // never fails
+	f := &Fleet{cfg: cfg, process: hex.EncodeToString(id[:]), log: newLogger(slog.Default()),
+		told: make(chan struct{}, 1), names: map[string]bool{}}
+	f.ctx, f.cancel = context.WithCancel(context.Background())
+	f.table = newTable(&f.cfg, f.process, time.Now())
+	f.view.Store(f.table.view)
+	err := f.bind()
+	switch {
+	case errors.Is(err, syscall.EADDRINUSE):
+		f.log.Info("fleet: another process has the address, waiting until it ends", "bind", cfg.Bind)
+		f.spawn(f.standBy)
+	case err != nil:
+		f.cancel()
+		return nil, fmt.Errorf("fleet: %w", err)
+	}
+	return f, nil
+}
+
+func (f *Fleet) spawn(task func()) {
+	f.tasks.Add(1)
+	go func() {
+		defer f.tasks.Done()
+		task()
+	}()
+}
+
+// standBy binds as soon as the address is free.
+func (f *Fleet) standBy() {
+	look := time.NewTicker(bindEvery)
+	defer look.Stop()
+	for {
+		select {
+		case <-look.C:
+			err := f.bind()
+			if err == nil {
+				f.log.Info("fleet: the address is this process's now", "bind", f.cfg.Bind)
+				return
+			}
+			if !errors.Is(err, syscall.EADDRINUSE) {
+				f.log.Warn("fleet: the address can't be used", "bind", f.cfg.Bind, "err", err)
+			}
+		case <-f.ctx.Done():
+			return
+		}
+	}
+}
+
+// bind opens the sockets and begins to take part.
+func (f *Fleet) bind() error {
+	// Whether the address is free is asked first: memberlist's error keeps only its text.
+	free, err := net.Listen("tcp", f.cfg.Bind)
+	if err != nil {
+		return err
+	}
+	free.Close()
+	tr, err := newTransport(&f.cfg, f.log.std(), &f.count, f.tell)
+	if err != nil {
+		return err
+	}
+	f.tr = tr
+	list, err := memberlist.Create(f.listConfig(tr))
+	if err != nil {
+		tr.Shutdown()
+		return err
+	}
+	f.list.Store(list)
+	f.tell()
+	f.spawn(f.publish)
+	f.spawn(f.heal)
+	f.spawn(f.confirm)
+	return nil
+}
+
+// listConfig is memberlist's configuration: its timings in the proportions that it has by
+// default, with a suspicion that lasts at least SuspectTimeoutMs.
+func (f *Fleet) listConfig(tr *transport) *memberlist.Config {
+	c := memberlist.DefaultLANConfig()
+	adv, _ := net.ResolveTCPAddr("tcp", f.cfg.Advertise) // complete has checked it
+	c.Name, c.Label, c.Transport = f.cfg.Name, f.cfg.Site, tr
+	c.BindPort, c.AdvertiseAddr, c.AdvertisePort = adv.Port, adv.IP.String(), adv.Port
+	c.CIDRsAllowed = f.cfg.networks()
+	c.EnableCompression = false
+	c.TCPTimeout = 3 * time.Second
+	c.ProbeInterval = ms(f.cfg.ProbeIntervalMs)
+	c.ProbeTimeout = c.ProbeInterval / 2
+	c.SuspicionMult, c.SuspicionMaxTimeoutMult = f.cfg.suspicionMult(), 2
+	c.GossipInterval = max(c.ProbeInterval/3, 20*time.Millisecond)
+	c.GossipToTheDeadTime = ms(f.cfg.ForgetMs)
+	c.DeadNodeReclaimTime = ms(f.cfg.ReclaimMs)
+	c.HandoffQueueDepth = 4096
+	c.Logger = f.log.std()
+	c.Delegate, c.Events, c.Alive, c.Ping = f, f, f, f
+	return c
+}
+
+// tell says that the list may have changed; it never waits.
+func (f *Fleet) tell() {
+	select {
+	case f.told <- struct{}{}:
+	default:
+	}
+}
+
+// View is the view as it is now.
+func (f *Fleet) View() *View { return f.view.Load() }
+
+// SetDraining tells the others whether this agent empties; it does not wait for them.
+func (f *Fleet) SetDraining(on bool) {
+	if f.draining.Swap(on) == on {
+		return
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if list := f.list.Load(); list != nil && !f.leaving {
+		f.spawn(func() {
+			if err := list.UpdateNode(time.Second); err != nil {
+				f.log.Warn("fleet: telling of the drain", "err", err)
+			}
+		})
+	}
+}
+
+// Leave tells the others that this process ends, for LeaveMs at the most, and closes all.
+// It may be called once.
+func (f *Fleet) Leave() {
+	f.mu.Lock()
+	f.leaving = true
+	f.mu.Unlock()
+	f.cancel()
+	if list := f.list.Load(); list != nil {
+		if err := list.Leave(ms(f.cfg.LeaveMs)); err != nil {
+			f.log.Warn("fleet: not all may have heard that this process ends", "err", err)
+		}
+	}
+	f.tasks.Wait()
+	if list := f.list.Load(); list != nil {
+		list.Shutdown()
+	}
+}
+
+// publish reads the list when it may have changed, at most every snapshotEvery, and
+// publishes a view where it did change.
+func (f *Fleet) publish() {
+	tick := time.NewTicker(snapshotEvery)
+	defer tick.Stop()
+	last, quiet := time.Now(), time.Time{}
+	for {
+		select {
+		case <-tick.C:
+		case <-f.ctx.Done():
+			return
+		}
+		now := time.Now()
+		if now.Sub(last) > stallAfter {
+			f.stalls.Add(1)
+			f.log.Warn("fleet: this process stood still", "for", now.Sub(last).Round(time.Millisecond))
+			quiet = now.Add(wakeFor)
+		}
+		last = now
+		if now.Before(quiet) {
+			continue
+		}
+		select {
+		case <-f.told:
+		default:
+			continue
+		}
+		if v := f.snapshot(now); v != nil {
+			f.view.Store(v)
+			if f.cfg.OnView != nil {
+				f.cfg.OnView(v)
+			}
+		}
+		last = time.Now() // what telling took is no stall
+	}
+}
+
+// snapshot reads memberlist's list and gives the new view, or nil if it did not change.
+func (f *Fleet) snapshot(now time.Time) *View {
+	f.tr.list = nil
+	// The push/pull with nobody always fails; what counts is what was recorded.
+	_, _ = f.list.Load().Join([]string{viewPeer + "/" + f.cfg.Advertise})
+	if f.tr.list == nil {
+		return nil
+	}
+	nodes, err := readPushPull(f.tr.list[1:], 1<<20)
+	if err != nil {
+		f.log.Warn("fleet: the list can't be read", "err", err)
+		return nil
+	}
+	members := make([]Member, 0, len(nodes))
+	names := make(map[string]bool, len(nodes))
+	for _, n := range nodes {
+		m, err := parseMeta(n.Meta)
+		if err != nil {
+			continue // NotifyAlive lets none in
+		}
+		names[n.Name] = true
+		members = append(members, Member{Name: n.Name, Process: m.Process, Zone: m.Zone, Version: m.Version, Draining: m.Draining,
+			State:       [...]State{Alive, Suspect, Dead, Left}[n.State&3],
+			Incarnation: n.Incarnation, Addr: net.JoinHostPort(net.IP(n.Addr).String(), fmt.Sprint(n.Port))})
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.names = names
+	if !f.table.update(members, now) {
+		return nil
+	}
+	return f.table.view
+}
+
+// Status is what operators see of a fleet view.
+type Status struct {
+	*View
+	Conclusion
+	UnchangedMs int64 `json:"unchanged_ms"`
+	// Member tells whether this process takes part; if not, another of its agent has the
+	// address, or it has left.
+	Member bool `json:"member"`
+	// Health is Lifeguard's local health: 0 is well, more makes this process slower to
+	// doubt others.
+	Health  int               `json:"health"`
+	Traffic map[string]uint64 `json:"traffic"`
+	Changes []Change          `json:"changes,omitempty"`
+}
+
+// Status is what this process knows, with the changes of its view after number since.
+func (f *Fleet) Status(since uint64) Status {
+	now := time.Now()
+	f.mu.Lock()
+	v := f.table.view
+	var changes []Change
+	for _, c := range f.table.changes {
+		if c.Number > since {
+			changes = append(changes, c)
+		}
+	}
+	leaving := f.leaving
+	f.mu.Unlock()
+	s := Status{View: v, Conclusion: v.Conclude(now), UnchangedMs: now.Sub(v.changed).Milliseconds(), Changes: changes}
+	if list := f.list.Load(); list != nil {
+		s.Member, s.Health = !leaving, list.GetHealthScore()
+	}
+	n := &f.count
+	s.Traffic = map[string]uint64{"packets_in": n.packetsIn.Load(), "bytes_in": n.bytesIn.Load(),
+		"packets_out": n.packetsOut.Load(), "bytes_out": n.bytesOut.Load(), "streams": n.streams.Load(),
+		"stream_bytes_in": n.streamBytesIn.Load(), "stream_bytes_out": n.streamBytesOut.Load(),
+		"bad_packets": n.badPackets.Load(), "bad_streams": n.badStreams.Load(), "foreign": n.foreign.Load(),
+		"rejected": n.rejected.Load(), "reconnects": f.heals.Load(), "syncs": f.syncs.Load(),
+		"declared_gone": f.gone.Load(), "stalls": f.stalls.Load(), "unlogged": f.log.left.Load()}
+	return s
+}
+
+// ---- what memberlist asks and tells (its goroutines, some under its lock) ----
+
+// NodeMeta is what this process tells of itself.
+func (f *Fleet) NodeMeta(int) []byte {
+	return meta{Process: f.process, Zone: f.cfg.Zone, Version: f.cfg.Version, Draining: f.draining.Load()}.bytes()
+}
+
+// NotifyAlive refuses members that can't be one of ours: it is the only way into the list.
+func (f *Fleet) NotifyAlive(n *memberlist.Node) error {
+	err := f.acceptable(n)
+	if err != nil {
+		f.count.rejected.Add(1)
+	}
+	return err
+}
+
+func (f *Fleet) acceptable(n *memberlist.Node) error {
+	if n.Name == f.cfg.Name {
+		return nil // what is wrong of it is refuted
+	}
+	m, err := parseMeta(n.Meta)
+	if err != nil {
+		return err
+	}
+	if n.Name == "" || len(n.Name) > maxName || strings.ContainsAny(n.Name, "/@") || len(n.Addr) != 4 && len(n.Addr) != 16 {
+		return errors.New("a name or an address that none has")
+	}
+	// A version that none of ours speaks would make every exchange of lists fail.
+	const version = memberlist.ProtocolVersion2Compatible
+	if n.PMin > version || n.PMax < version || n.PCur != version || n.DMin|n.DMax|n.DCur != 0 {
+		return errors.New("another version of the protocol")
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, old := range f.table.retired[n.Name] {
+		if old == m.Process {
+			return errors.New("a process that was replaced")
+		}
+	}
+	if !f.names[n.Name] {
+		if len(f.names) >= f.cfg.maxMembers() {
+			return errors.New("too many members")
+		}
+		f.names[n.Name] = true
+	}
+	return nil
+}
+
+// NotifyJoin, NotifyLeave and NotifyUpdate tell that the list has changed.
+func (f *Fleet) NotifyJoin(*memberlist.Node)   { f.tell() }
+func (f *Fleet) NotifyLeave(*memberlist.Node)  { f.tell() }
+func (f *Fleet) NotifyUpdate(*memberlist.Node) { f.tell() }
+
+// AckPayload is this process's digest, which goes with each answer to a probe.
+func (f *Fleet) AckPayload() []byte {
+	return binary.BigEndian.AppendUint64(nil, f.view.Load().digest)
+}
+
+// NotifyPingComplete compares a member's digest with this process's. While a change runs
+// through the fleet they differ; where they still do after a settled time, lists are exchanged.
+func (f *Fleet) NotifyPingComplete(n *memberlist.Node, _ time.Duration, payload []byte) {
+	if len(payload) != 8 {
+		return
+	}
+	v := f.view.Load()
+	if binary.BigEndian.Uint64(payload) == v.digest || time.Since(v.changed) < f.differFor() {
+		return
+	}
+	f.mu.Lock()
+	f.differ = n.Name + "/" + n.Address()
+	f.mu.Unlock()
+}
+
+// differFor is how long a view is unchanged before another digest is looked into: some
+// rounds of the gossip.
+func (f *Fleet) differFor() time.Duration { return 3 * ms(f.cfg.ProbeIntervalMs) }
+
+// NotifyMsg, GetBroadcasts, LocalState and MergeRemoteState carry nothing yet.
+func (f *Fleet) NotifyMsg([]byte)                           {}
+func (f *Fleet) GetBroadcasts(overhead, limit int) [][]byte { return nil }
+func (f *Fleet) LocalState(bool) []byte                     { return nil }
+func (f *Fleet) MergeRemoteState([]byte, bool)              {}
--- /dev/null
+++ b/internal/fleet/transport.go
@@ -0,0 +1,339 @@
+package fleet
+
+import (
+	"bytes"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"io"
+	"log"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/memberlist"
+)
+
+const (
+	// maxFrame bounds a message on a stream, in bytes: the state of some 5,000 members.
+	maxFrame = 1 << 20
+	// maxStreams bounds the streams from others at a time; more wait unaccepted.
+	maxStreams = 6
+	// viewPeer is the name under which memberlist is asked for its own list; no member
+	// may have it.
+	viewPeer = "@view"
+)
+
+// Sockets is how many descriptors a fleet view takes at the most: its two sockets, streams
+// from others, and as many to them.
+const Sockets = 2 + 2*maxStreams
+
+// traffic counts what passes and what is dropped, since the start.
+type traffic struct {
+	packetsIn, bytesIn, packetsOut, bytesOut  atomic.Uint64
+	streams, streamBytesIn, streamBytesOut    atomic.Uint64
+	badPackets, badStreams, foreign, rejected atomic.Uint64
+}
+
+// transport is memberlist's own network transport with a guard around it: packets and
+// stream messages that no member of ours sends are dropped and counted before memberlist
+// reads them, streams are bounded in number and each message on one in size (a length of
+// four bytes goes before each), and calls come from the bound address, so that who sends
+// is known by it.
+type transport struct {
+	*memberlist.NetTransport
+	cfg     *Config
+	local   net.IP
+	nets    []net.IPNet
+	logger  *log.Logger
+	count   *traffic
+	packets chan *memberlist.Packet
+	streams chan net.Conn
+	slots   chan struct{}
+	closed  chan struct{}
+	ended   chan struct{}
+	// told is called when a packet came or went that says something of a member's state.
+	told func()
+	// list is what memberlist last told viewPeer; only the goroutine that asks uses it.
+	list []byte
+}
+
+func newTransport(cfg *Config, logger *log.Logger, count *traffic, told func()) (*transport, error) {
+	addr, err := net.ResolveTCPAddr("tcp", cfg.Bind)
+	if err != nil {
+		return nil, err
+	}
+	inner, err := memberlist.NewNetTransport(&memberlist.NetTransportConfig{
+		BindAddrs: []string{addr.IP.String()}, BindPort: addr.Port, Logger: logger})
+	if err != nil {
+		return nil, err
+	}
+	t := &transport{NetTransport: inner, cfg: cfg, local: addr.IP, nets: cfg.networks(), logger: logger, count: count,
+		packets: make(chan *memberlist.Packet), streams: make(chan net.Conn), slots: make(chan struct{}, maxStreams),
+		closed: make(chan struct{}), ended: make(chan struct{}), told: told}
+	go t.takePackets()
+	go t.takeStreams()
+	return t, nil
+}
+
+func (t *transport) PacketCh() <-chan *memberlist.Packet { return t.packets }
+func (t *transport) StreamCh() <-chan net.Conn           { return t.streams }
+
+// Shutdown closes the sockets. What memberlist no longer takes is thrown away until the
+// transport beneath has ended, which waits for that.
+func (t *transport) Shutdown() error {
+	close(t.closed)
+	err := t.NetTransport.Shutdown()
+	close(t.ended)
+	return err
+}
+
+// drain throws away what comes until the transport beneath has ended.
+func (t *transport) drain() {
+	for {
+		select {
+		case c := <-t.NetTransport.StreamCh():
+			c.Close()
+		case <-t.NetTransport.PacketCh():
+		case <-t.ended:
+			return
+		}
+	}
+}
+
+func (t *transport) takePackets() {
+	for {
+		select {
+		case p := <-t.NetTransport.PacketCh():
+			if t.admit(p) {
+				select {
+				case t.packets <- p:
+				case <-t.closed:
+				}
+			}
+		case <-t.closed:
+			t.drain()
+			return
+		}
+	}
+}
+
+// admit tells whether a packet may go to memberlist.
+func (t *transport) admit(p *memberlist.Packet) bool {
+	t.count.packetsIn.Add(1)
+	t.count.bytesIn.Add(uint64(len(p.Buf)))
+	b, label, err := memberlist.RemoveLabelHeaderFromPacket(p.Buf)
+	if err == nil && label != t.cfg.Site {
+		t.count.foreign.Add(1)
+		t.logger.Printf("[WARN] packet of another site, %.64q, from %v", label, p.From)
+		return false
+	}
+	tells := false
+	if err == nil {
+		tells, err = checkPacket(b, 0)
+	}
+	if err != nil {
+		t.count.badPackets.Add(1)
+		t.logger.Printf("[WARN] packet of %d bytes from %v dropped: %v", len(p.Buf), p.From, err)
+		return false
+	}
+	if tells {
+		t.told()
+	}
+	return true
+}
+
+// inject gives memberlist a message as if it had come.
+func (t *transport) inject(b []byte) {
+	b, err := memberlist.AddLabelHeaderToPacket(b, t.cfg.Site)
+	if err != nil {
+		return // the site's length is checked
+	}
+	select {
+	case t.packets <- &memberlist.Packet{Buf: b, From: &net.UDPAddr{IP: t.local}, Timestamp: time.Now()}:
+		t.told()
+	case <-t.closed:
+	}
+}
+
+func (t *transport) takeStreams() {
+	for {
+		select {
+		case t.slots <- struct{}{}:
+		case <-t.closed:
+			t.drain()
+			return
+		}
+		select {
+		case c := <-t.NetTransport.StreamCh():
+			f := &framed{Conn: c, t: t, release: sync.OnceFunc(func() { <-t.slots })}
+			t.count.streams.Add(1)
+			select {
+			case t.streams <- f:
+			case <-t.closed:
+				f.Close()
+			}
+		case <-t.closed:
+			t.drain()
+			return
+		}
+	}
+}
+
+// allowed tells whether something may be sent to an address.
+func (t *transport) allowed(addr string) error {
+	host, _, err := net.SplitHostPort(addr)
+	if err != nil {
+		return err
+	}
+	if ip := net.ParseIP(host); ip != nil {
+		for _, n := range t.nets {
+			if n.Contains(ip) {
+				return nil
+			}
+		}
+		if len(t.nets) == 0 {
+			return nil
+		}
+	}
+	return fmt.Errorf("%s is in none of the networks", addr)
+}
+
+func (t *transport) WriteTo(b []byte, addr string) (time.Time, error) {
+	return t.WriteToAddress(b, memberlist.Address{Addr: addr})
+}
+
+func (t *transport) WriteToAddress(b []byte, a memberlist.Address) (time.Time, error) {
+	if err := t.allowed(a.Addr); err != nil {
+		return time.Time{}, err
+	}
+	t.count.packetsOut.Add(1)
+	t.count.bytesOut.Add(uint64(len(b)))
+	if msg, _, err := memberlist.RemoveLabelHeaderFromPacket(b); err == nil {
+		if tells, err := checkPacket(msg, 0); err == nil && tells {
+			t.told()
+		}
+	}
+	return t.NetTransport.WriteToAddress(b, a)
+}
+
+func (t *transport) DialTimeout(addr string, within time.Duration) (net.Conn, error) {
+	return t.DialAddressTimeout(memberlist.Address{Addr: addr}, within)
+}
+
+func (t *transport) DialAddressTimeout(a memberlist.Address, within time.Duration) (net.Conn, error) {
+	if a.Name == viewPeer {
+		return newRecorder(a.Addr, func(b []byte) { t.list = b })
+	}
+	if err := t.allowed(a.Addr); err != nil {
+		return nil, err
+	}
+	d := net.Dialer{Timeout: within, LocalAddr: &net.TCPAddr{IP: t.local}}
+	c, err := d.Dial("tcp", a.Addr)
+	if err != nil {
+		return nil, err
+	}
+	t.count.streams.Add(1)
+	return &framed{Conn: c, t: t, release: func() {}}, nil
+}
+
+// framed is a stream whose messages have their length before them, in four bytes, and are
+// checked whole before a byte of one is given to memberlist.
+type framed struct {
+	net.Conn
+	t       *transport
+	release func()
+	rest    []byte
+}
+
+func (f *framed) Close() error {
+	f.release()
+	return f.Conn.Close()
+}
+
+func (f *framed) Write(p []byte) (int, error) {
+	if len(p) > maxFrame {
+		return 0, fmt.Errorf("message of %d bytes", len(p))
+	}
+	b := append(binary.BigEndian.AppendUint32(make([]byte, 0, 4+len(p)), uint32(len(p))), p...)
+	n, err := f.Conn.Write(b)
+	f.t.count.streamBytesOut.Add(uint64(n))
+	return max(0, n-4), err
+}
+
+func (f *framed) Read(p []byte) (int, error) {
+	if len(f.rest) == 0 {
+		if err := f.next(); err != nil {
+			return 0, err
+		}
+	}
+	n := copy(p, f.rest)
+	f.rest = f.rest[n:]
+	return n, nil
+}
+
+// next reads and checks one message.
+func (f *framed) next() error {
+	var head [4]byte
+	if _, err := io.ReadFull(f.Conn, head[:]); err != nil {
+		return err
+	}
+	size := binary.BigEndian.Uint32(head[:])
+	if size == 0 || size > maxFrame {
+		return f.bad(fmt.Errorf("message of %d bytes", size))
+	}
+	var b bytes.Buffer // grows with what comes, not with what is claimed
+	if _, err := io.CopyN(&b, f.Conn, int64(size)); err != nil {
+		return err
+	}
+	f.t.count.streamBytesIn.Add(uint64(size))
+	f.rest = b.Bytes()
+	if f.rest[0] == msgLabel {
+		if string(f.rest[min(2, len(f.rest)):]) != f.t.cfg.Site {
+			f.t.count.foreign.Add(1)
+			return errors.New("stream of another site")
+		}
+		return nil
+	}
+	if err := checkStream(f.rest, f.t.cfg.maxMembers()); err != nil {
+		return f.bad(err)
+	}
+	return nil
+}
+
+func (f *framed) bad(err error) error {
+	f.t.count.badStreams.Add(1)
+	f.rest = nil
+	return err
+}
+
+// recorder is a stream to nobody, on which memberlist tells its own list: the first half
+// of a push/pull. The other half is an answer that there is none.
+type recorder struct {
+	net.Conn // nil: no method but those below is used
+	addr     net.Addr
+	wrote    func([]byte)
+	answer   *bytes.Reader
+}
+
+func newRecorder(addr string, wrote func([]byte)) (net.Conn, error) {
+	a, err := net.ResolveTCPAddr("tcp", addr)
+	if err != nil {
+		return nil, err
+	}
+	return &recorder{addr: a, wrote: wrote, answer: bytes.NewReader(encodeMessage(msgError, errorMessage{"nobody"}))}, nil
+}
+
+func (r *recorder) Write(p []byte) (int, error) {
+	if len(p) > 0 && p[0] == msgPushPull {
+		r.wrote(bytes.Clone(p))
+	}
+	return len(p), nil
+}
+func (r *recorder) Read(p []byte) (int, error)       { return r.answer.Read(p) }
+func (r *recorder) Close() error                     { return nil }
+func (r *recorder) RemoteAddr() net.Addr             { return r.addr }
+func (r *recorder) SetDeadline(time.Time) error      { return nil }
+func (r *recorder) SetReadDeadline(time.Time) error  { return nil }
+func (r *recorder) SetWriteDeadline(time.Time) error { return nil }
--- /dev/null
+++ b/internal/fleet/view.go
@@ -0,0 +1,237 @@
+package fleet
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// State is what a member is in a view, as in SWIM (Das, Gupta and Motivala, 2002).
+type State string
+
+const (
+	Alive   State = "alive"   // it answers, or others say that it does
+	Suspect State = "suspect" // it did not answer; it can still refute that
+	Dead    State = "dead"    // it refuted nothing in time, or its address refused calls
+	Left    State = "left"    // it said that it ends
+)
+
+// present tells whether a member of this state counts as there: suspicion alone takes
+// nobody out.
+func (s State) present() bool { return s == Alive || s == Suspect }
+
+// Member is one agent as this process sees it.
+type Member struct {
+	Name        string `json:"name"`
+	Process     string `json:"process"` // of this start of it: 16 hexadecimal digits
+	Zone        string `json:"zone,omitempty"`
+	Version     string `json:"version,omitempty"`
+	Draining    bool   `json:"draining,omitempty"`
+	State       State  `json:"state"`
+	Incarnation uint32 `json:"incarnation"` // grows when the member refutes or changes
+	Addr        string `json:"addr"`
+
+	since time.Time // of State and Process, on this process's clock
+}
+
+// View is what one process knows of its fleet. It is never changed once it is made.
+type View struct {
+	Self    string `json:"self"`
+	Process string `json:"process"`
+	Site    string `json:"site"`
+	// Number grows by one with each change of this process's view; it says nothing to
+	// another process.
+	Number uint64 `json:"number"`
+	// Digest is a hash of the names and processes that are alive or suspected: two agents
+	// that show the same see the same fleet.
+	Digest string `json:"digest"`
+	// Size is the number of agents that the configuration names.
+	Size    int      `json:"size"`
+	Present int      `json:"present"`
+	Members []Member `json:"members"` // by name
+
+	digest  uint64
+	settle  time.Duration
+	changed time.Time
+}
+
+// Conclusion is all that may be concluded from a view at a time. The rule: a member counts
+// as surely there once it has been alive without a doubt for the settle time, so that what
+// is just joining, doubted or flapping is not counted on; and an agent that is not seen may
+// still be there, serving, on the other side of a cut, so at most all that the configuration
+// names (or more, if more are seen) are there. That a member is dead in the view never
+// means that it sends nothing.
+type Conclusion struct {
+	AtLeast int  `json:"at_least"` // agents, this one included
+	AtMost  int  `json:"at_most"`
+	Quorate bool `json:"quorate"` // AtLeast is a majority of the size that is configured
+	// Settled tells that the view has not changed for the settle time.
+	Settled bool `json:"settled"`
+}
+
+// Conclude is what may be concluded from the view at a time of this process's clock.
+func (v *View) Conclude(now time.Time) Conclusion {
+	c := Conclusion{AtMost: max(v.Size, v.Present), Settled: now.Sub(v.changed) >= v.settle}
+	for i := range v.Members {
+		m := &v.Members[i]
+		if m.Name == v.Self || m.State == Alive && now.Sub(m.since) >= v.settle {
+			c.AtLeast++
+		}
+	}
+	c.Quorate = 2*c.AtLeast > v.Size
+	return c
+}
+
+// Member is a member by its name.
+func (v *View) Member(name string) (Member, bool) {
+	i, ok := slices.BinarySearchFunc(v.Members, name, func(m Member, n string) int { return strings.Compare(m.Name, n) })
+	if !ok {
+		return Member{}, false
+	}
+	return v.Members[i], true
+}
+
+// Change is one step of this process's view.
+type Change struct {
+	Number uint64 `json:"number"` // of the view that it led to
+	// UnixUs is the process's wall clock in microseconds: for people and for experiments
+	// on one machine; no decision rests on it.
+	UnixUs      int64  `json:"unix_us"`
+	Name        string `json:"name"`
+	Process     string `json:"process"`
+	From        State  `json:"from,omitempty"` // empty: it was not known, or another process
+	To          State  `json:"to,omitempty"`   // empty: it is forgotten
+	Incarnation uint32 `json:"incarnation"`
+	Digest      string `json:"digest"` // of the view that it led to
+	Draining    bool   `json:"draining,omitempty"`
+}
+
+// keptChanges is how many changes a process remembers for GET /ops/fleet.
+const keptChanges = 8192
+
+// table makes views of what memberlist's list says, one snapshot after another. One
+// goroutine uses it.
+type table struct {
+	cfg     *Config
+	process string
+	view    *View
+	changes []Change
+	// retired are the processes that a name had before, the latest first, a few each:
+	// what comes late from one of them is not heard any more.
+	retired map[string][]string
+}
+
+const keptRetired = 4
+
+func newTable(cfg *Config, process string, now time.Time) *table {
+	t := &table{cfg: cfg, process: process, retired: map[string][]string{}}
+	t.view = t.make(nil, now)
+	return t
+}
+
+// make is a view of these members, which has no number yet.
+func (t *table) make(members []Member, now time.Time) *View {
+	slices.SortFunc(members, func(a, b Member) int { return strings.Compare(a.Name, b.Name) })
+	v := &View{Self: t.cfg.Name, Process: t.process, Site: t.cfg.Site, Size: t.cfg.Size,
+		Members: members, settle: ms(t.cfg.SettleMs), changed: now}
+	h := xxhash.New()
+	for i := range members {
+		if members[i].State.present() {
+			v.Present++
+			fmt.Fprintf(h, "%s\x00%s\n", members[i].Name, members[i].Process)
+		}
+	}
+	v.digest = h.Sum64()
+	v.Digest = fmt.Sprintf("%016x", v.digest)
+	return v
+}
+
+// update takes a snapshot of memberlist's list and tells whether the view changed. Dead
+// members that memberlist has forgotten stay, so that they can be sought, for
+// ReconnectForMs; those that left go with it.
+func (t *table) update(list []Member, now time.Time) bool {
+	var changes []Change
+	seen := map[string]bool{}
+	next := make([]Member, 0, len(list))
+	for _, m := range list {
+		old, known := t.view.Member(m.Name)
+		seen[m.Name] = true
+		m.since = now
+		same := known && old.Process == m.Process
+		if same && old.State == m.State {
+			m.since = old.since
+		}
+		if known && !same {
+			t.retire(m.Name, old.Process)
+		}
+		next = append(next, m)
+		if !same || old.State != m.State || old.Draining != m.Draining || old.Incarnation != m.Incarnation {
+			c := Change{Name: m.Name, Process: m.Process, To: m.State, Incarnation: m.Incarnation, Draining: m.Draining}
+			if same {
+				c.From = old.State
+			}
+			changes = append(changes, c)
+		}
+	}
+	for _, m := range t.view.Members {
+		switch {
+		case seen[m.Name]:
+		case m.State == Dead && now.Sub(m.since) < ms(t.cfg.ReconnectForMs), m.State.present():
+			// Present and forgotten cannot be but between two snapshots: it died.
+			if m.State.present() {
+				changes = append(changes, Change{Name: m.Name, Process: m.Process, From: m.State, To: Dead, Incarnation: m.Incarnation})
+				m.State, m.since = Dead, now
+			}
+			next = append(next, m)
+		default:
+			changes = append(changes, Change{Name: m.Name, Process: m.Process, From: m.State, Incarnation: m.Incarnation})
+		}
+	}
+	if len(changes) == 0 {
+		return false
+	}
+	v := t.make(next, now)
+	v.Number = t.view.Number + 1
+	t.view = v
+	for _, c := range changes {
+		c.Number, c.UnixUs, c.Digest = v.Number, now.UnixMicro(), v.Digest
+		t.changes = append(t.changes, c)
+	}
+	if over := len(t.changes) - keptChanges; over > 0 {
+		t.changes = slices.Clone(t.changes[over:])
+	}
+	return true
+}
+
+func (t *table) retire(name, process string) {
+	t.retired[name] = append([]string{process}, t.retired[name]...)
+	t.retired[name] = t.retired[name][:min(len(t.retired[name]), keptRetired)]
+}
+
+// meta is what a member tells of itself, at most 512 bytes as JSON.
+type meta struct {
+	Process  string `json:"p"`
+	Zone     string `json:"z,omitempty"`
+	Version  string `json:"v,omitempty"`
+	Draining bool   `json:"d,omitempty"`
+}
+
+func (m meta) bytes() []byte {
+	b, _ := json.Marshal(m) // strings and a bool cannot fail
+	return b
+}
+
+// parseMeta reads what a member told of itself; what no member of ours says is an error.
+func parseMeta(b []byte) (m meta, err error) {
+	if err := json.Unmarshal(b, &m); err != nil {
+		return m, fmt.Errorf("meta: %w", err)
+	}
+	if len(m.Process) != 16 || len(m.Zone) > 64 || len(m.Version) > 64 {
+		return m, fmt.Errorf("meta: process, zone or version of a length that none has")
+	}
+	return m, nil
+}
--- /dev/null
+++ b/internal/fleetlab/check.go
@@ -0,0 +1,214 @@
+package fleetlab
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"clayproxy.example/clayproxy/internal/fleet"
+)
+
+// Life is one process's time: from its start to its end as the lab made them. All times of
+// a lab are of one machine's clock.
+type Life struct {
+	Name, Process string
+	Start, End    time.Time // End is zero while it runs
+	Left          bool      // it ended by SIGTERM
+	proc          string
+}
+
+// Record is what one process saw, in its order.
+type Record struct {
+	Observer, Process string
+	Changes           []fleet.Change
+}
+
+func (r *Record) last() uint64 {
+	if n := len(r.Changes); n > 0 {
+		return r.Changes[n-1].Number
+	}
+	return 0
+}
+
+// add appends what is newer than the last change known.
+func (r *Record) add(changes []fleet.Change) {
+	last := r.last()
+	for _, c := range changes {
+		if c.Number > last {
+			r.Changes = append(r.Changes, c)
+		}
+	}
+}
+
+// settledAt is when the view came to a digest for good.
+func (r *Record) settledAt(digest string) (at time.Time) {
+	for _, c := range slices.Backward(r.Changes) {
+		if c.Digest != digest {
+			break
+		}
+		at = time.UnixMicro(c.UnixUs)
+	}
+	return at
+}
+
+// Excuse is a time in which an observer (by name) may rightly declare a member dead.
+type Excuse struct {
+	From, To time.Time
+	Pair     func(observer, member string) bool
+}
+
+// Violation is a rule that a history breaks. The rules: "false death" (a running process,
+// not excused, is declared dead), "incarnation" (one goes back), "number" (a view's number
+// does not go up by one), "return" (a process that was replaced is back), "leaver" (one
+// that left is doubted, dead or back).
+type Violation struct {
+	Rule, Observer string
+	Change         fleet.Change
+}
+
+func (v Violation) String() string {
+	return fmt.Sprintf("%s: %s saw %s/%s go from %q to %q (incarnation %d) in view %d", v.Rule, v.Observer,
+		v.Change.Name, v.Change.Process, v.Change.From, v.Change.To, v.Change.Incarnation, v.Change.Number)
+}
+
+// Check judges the merged histories of all processes against the rules.
+func Check(lives []*Life, records []*Record, excuses []Excuse) (found []Violation) {
+	byProcess := map[string]*Life{}
+	for _, l := range lives {
+		byProcess[l.Process] = l
+	}
+	for _, r := range records {
+		// What this observer knows of each name: its process, incarnation and state.
+		seen := map[string]fleet.Change{}
+		replaced := map[string]bool{}
+		number := uint64(0)
+		for _, c := range r.Changes {
+			broken := func(rule string) {
+				found = append(found, Violation{rule, r.Observer, c})
+			}
+			if c.Number != number && c.Number != number+1 {
+				broken("number")
+			}
+			number = c.Number
+			old, known := seen[c.Name]
+			if known && old.Process != c.Process {
+				replaced[old.Process] = true
+			}
+			if replaced[c.Process] {
+				broken("return")
+			}
+			if known && old.Process == c.Process {
+				if c.Incarnation < old.Incarnation {
+					broken("incarnation")
+				}
+				if old.To == fleet.Left && c.To != fleet.Left && c.To != "" {
+					broken("leaver")
+				}
+			}
+			if c.To == fleet.Dead && falseDeath(byProcess[c.Process], r.Observer, c, excuses) {
+				broken("false death")
+			}
+			seen[c.Name] = c
+		}
+	}
+	return found
+}
+
+func falseDeath(life *Life, observer string, c fleet.Change, excuses []Excuse) bool {
+	at := time.UnixMicro(c.UnixUs)
+	if life == nil || !life.End.IsZero() && at.After(life.End) {
+		return false
+	}
+	return !slices.ContainsFunc(excuses, func(e Excuse) bool {
+		return at.After(e.From) && at.Before(e.To) && e.Pair(observer, c.Name)
+	})
+}
+
+// Flaps counts, for each pair of an observer and a running member since a time, how often
+// the observer came to doubt the member, and gives the most for a pair and the sum.
+func Flaps(lives []*Life, records []*Record, since time.Time) (most, sum int) {
+	running := map[string]bool{}
+	for _, l := range lives {
+		running[l.Process] = l.End.IsZero()
+	}
+	for _, r := range records {
+		pairs := map[string]int{}
+		for _, c := range r.Changes {
+			if c.To == fleet.Suspect && c.From == fleet.Alive && running[c.Process] && time.UnixMicro(c.UnixUs).After(since) {
+				pairs[c.Process]++
+				sum++
+				most = max(most, pairs[c.Process])
+			}
+		}
+	}
+	return most, sum
+}
+
+// Detections are the times from the ends of processes that were killed since a time until
+// each process that runs saw them dead, in order; missing counts those that never did.
+func Detections(lives []*Life, records []*Record, since time.Time) (took []time.Duration, missing int) {
+	running := map[string]bool{}
+	for _, l := range lives {
+		running[l.Process] = l.End.IsZero()
+	}
+	for _, r := range records {
+		if !running[r.Process] {
+			continue
+		}
+		for _, l := range lives {
+			if l.End.IsZero() || l.Left || l.End.Before(since) {
+				continue
+			}
+			i := slices.IndexFunc(r.Changes, func(c fleet.Change) bool {
+				return c.Process == l.Process && c.To == fleet.Dead && time.UnixMicro(c.UnixUs).After(l.End)
+			})
+			if i < 0 {
+				missing++
+			} else {
+				took = append(took, time.UnixMicro(r.Changes[i].UnixUs).Sub(l.End))
+			}
+		}
+	}
+	slices.Sort(took)
+	return took, missing
+}
+
+// Quantile is a quantile (0 to 1) of times in order; 0 of none.
+func Quantile(of []time.Duration, q float64) time.Duration {
+	if len(of) == 0 {
+		return 0
+	}
+	return of[min(len(of)-1, int(q*float64(len(of))))]
+}
+
+// Check judges all that the lab's processes saw so far.
+func (l *Lab) Check() []Violation {
+	l.collect(l.Live())
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return Check(l.lives, l.list(), l.excuses)
+}
+
+// list are the records. The caller holds mu.
+func (l *Lab) list() (records []*Record) {
+	for _, r := range l.records {
+		records = append(records, r)
+	}
+	slices.SortFunc(records, func(a, b *Record) int { return len(b.Changes) - len(a.Changes) })
+	return records
+}
+
+// Flaps and Detections are those of the lab's history since a time.
+func (l *Lab) Flaps(since time.Time) (most, sum int) {
+	l.collect(l.Live())
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return Flaps(l.lives, l.list(), since)
+}
+
+func (l *Lab) Detections(since time.Time) ([]time.Duration, int) {
+	l.collect(l.Live())
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return Detections(l.lives, l.list(), since)
+}
--- /dev/null
+++ b/internal/fleetlab/lab.go
@@ -0,0 +1,417 @@
+// Package fleetlab runs fleets of the real agent on one machine, through a switchboard that
+// puts faults between them, and judges their fleet views: a checker decides safety over the
+// merged histories of all processes, and the same histories give the times that a change
+// took to be seen by all. The program's tests run its cases at a small size; the command
+// fernfleet runs them at any.
+package fleetlab
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strconv"
+	"sync"
+	"syscall"
+	"time"
+
+	"clayproxy.example/clayproxy/internal/cluster"
+	"clayproxy.example/clayproxy/internal/fleet"
+	"clayproxy.example/clayproxy/internal/switchboard"
+)
+
+// Config says what fleet to run.
+type Config struct {
+	Binary string // the built agent
+	Dir    string // for configurations and logs
+	N      int    // processes, in three zones
+	Seeds  int    // the first so many are everyone's seeds
+	Seed   uint64 // of all that is drawn
+	// Fleet are the timings of the agents' section "fleet" (see fleet.Config).
+	Fleet fleet.Config
+	// Log is told what happens; nil: nobody.
+	Log func(format string, args ...any)
+}
+
+// Lab is a running fleet with its board and its history.
+type Lab struct {
+	cfg   Config
+	Board *switchboard.Board
+	procs *cluster.Cluster
+	Names []string
+	addr  map[string][2]string // bind and advertise
+	disc  *http.Server
+	draw  *rand.Rand
+	call  *http.Client
+
+	mu      sync.Mutex
+	lives   []*Life
+	records map[string]*Record // by observer's process
+	excuses []Excuse
+}
+
+// agentSettings are the least that an agent takes: these fleets have no servers.
+const agentSettings = `{"classes":[{"name":"order","aimMs":2000,"giveUpMs":3000,"effect":"single_shot","credit":5,"lateShare":0.2}],
+"contract":{"askWithinMs":1600,"drainGraceMs":250},"failureDomains":["east"],"shapes":["big"],"replicasOfMe":%d,
+"limits":{"cancelling":true,"connectTimeoutMs":1000,"keepaliveMs":30000,"maxAttempts":3,"maxRetryAfterMs":600},
+"membershipMode":"on_request","objectiveMix":{"whole":1},"roundMs":5}`
+
+// Upgrade is the name of the second process of an agent, beside the first.
+func Upgrade(name string) string { return name + "-next" }
+
+// New makes the fleet's addresses and configurations; nothing runs yet.
+func New(cfg Config) (*Lab, error) {
+	if cfg.N < 2 || cfg.Seeds < 1 || cfg.Seeds > cfg.N {
+		return nil, fmt.Errorf("fleetlab: %d processes with %d seeds", cfg.N, cfg.Seeds)
+	}
+	if cfg.Log == nil {
+		cfg.Log = func(string, ...any) {}
+	}
+	board, err := switchboard.New(cfg.Seed)
+	if err != nil {
+		return nil, err
+	}
+	l := &Lab{cfg: cfg, Board: board, addr: map[string][2]string{}, draw: rand.New(rand.NewPCG(cfg.Seed, 1)),
+		records: map[string]*Record{}, call: &http.Client{Timeout: 3 * time.Second,
+			Transport: &http.Transport{DisableKeepAlives: true}}}
+	var all []string
+	for i := range cfg.N {
+		name := fmt.Sprintf("a%03d", i)
+		l.Names = append(l.Names, name)
+		all = append(all, name, Upgrade(name))
+		bind, advertise, err := board.Add(name)
+		if err != nil {
+			board.Close()
+			return nil, err
+		}
+		l.addr[name] = [2]string{bind, advertise}
+	}
+	if err := l.discover(); err != nil {
+		board.Close()
+		return nil, err
+	}
+	l.procs, err = cluster.New(cluster.Config{Binary: cfg.Binary, Dir: cfg.Dir, Names: all, Env: func(name string) []string {
+		return []string{"PROXY_CONFIG=" + filepath.Join(cfg.Dir, name+".json"), "PROXY_NAME=", "PROXY_LISTEN=",
+			"PROXY_DISCOVERY=", "PROXY_MANAGEMENT=", "PROXY_LISTEN_FD=", "TMPDIR=" + cfg.Dir}
+	}})
+	for i, name := range l.Names {
+		for _, next := range []bool{false, true} {
+			if err == nil {
+				err = l.configure(name, i, next)
+			}
+		}
+	}
+	if err != nil {
+		l.Close()
+		return nil, err
+	}
+	return l, nil
+}
+
+// discover serves a list without servers to all agents.
+func (l *Lab) discover() error {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /api/targets", func(w http.ResponseWriter, r *http.Request) {
+		if wait, err := strconv.Atoi(r.FormValue("wait")); err == nil {
+			select {
+			case <-time.After(time.Duration(wait) * time.Millisecond):
+			case <-r.Context().Done():
+			}
+		}
+		fmt.Fprint(w, `{"version":1,"full":true,"servers":[]}`)
+	})
+	l.disc = &http.Server{Addr: ln.Addr().String(), Handler: mux}
+	go l.disc.Serve(ln)
+	return nil
+}
+
+// configure writes an agent's configuration; the next process of an agent has the same
+// but the doors.
+func (l *Lab) configure(name string, i int, next bool) error {
+	own := l.addr[name]
+	c := l.cfg.Fleet
+	c.Bind, c.Advertise, c.Site, c.Zone = own[0], own[1], "lab", fmt.Sprintf("z%d", i%3)
+	c.Networks = []string{"127.0.0.0/8"}
+	for _, s := range l.Names[:l.cfg.Seeds] {
+		c.Seeds = append(c.Seeds, l.addr[s][1])
+	}
+	file := name
+	if next {
+		file = Upgrade(name)
+	}
+	text, err := json.Marshal(map[string]any{"name": name, "listen": l.door(file, 8000), "management": l.door(file, 8001),
+		"discovery": l.disc.Addr, "seed": "1", "limits": map[string]any{"cores": 0.2, "memory_mb": 64, "sockets": 256},
+		"known": map[string]any{"version": 0, "full": true, "servers": []any{}}, "fleet": c,
+		"settings": json.RawMessage(fmt.Sprintf(agentSettings, l.cfg.N))})
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(filepath.Join(l.cfg.Dir, file+".json"), text, 0o600)
+}
+
+// door is an address of a process for those outside the fleet: port 8000 is the clients',
+// 8001 the operators'.
+func (l *Lab) door(name string, port int) string {
+	if bind, ok := l.addr[name]; ok {
+		host, _, _ := net.SplitHostPort(bind[0])
+		return net.JoinHostPort(host, strconv.Itoa(port))
+	}
+	return l.door(name[:len(name)-len("-next")], port+10)
+}
+
+// Close ends every process, the board and the list.
+func (l *Lab) Close() {
+	if l.procs != nil {
+		l.each(l.procs.Names(), func(n string) error { return l.procs.Kill(n) })
+	}
+	l.disc.Close()
+	l.Board.Close()
+}
+
+// each does something for many processes at once.
+func (l *Lab) each(names []string, do func(string) error) error {
+	var wg sync.WaitGroup
+	errs := make([]error, len(names))
+	slots := make(chan struct{}, 64)
+	for i, n := range names {
+		wg.Add(1)
+		slots <- struct{}{}
+		go func() {
+			defer wg.Done()
+			errs[i] = do(n)
+			<-slots
+		}()
+	}
+	wg.Wait()
+	return errors.Join(errs...)
+}
+
+// Start starts processes at once and waits until each has told its identity.
+func (l *Lab) Start(names ...string) error {
+	began := time.Now()
+	if err := l.each(names, func(n string) error { return l.procs.Start(n) }); err != nil {
+		return err
+	}
+	return l.each(names, func(n string) error {
+		var s *fleet.Status
+		if err := cluster.Await(time.Minute, n+" answers its operators", func() bool {
+			s, _ = l.Status(n, 0)
+			return s != nil
+		}); err != nil {
+			return err
+		}
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		l.lives = append(l.lives, &Life{Name: s.Self, Process: s.Process, proc: n, Start: began})
+		l.records[s.Process] = &Record{Observer: s.Self, Process: s.Process}
+		return nil
+	})
+}
+
+// end notes the end of a process's life.
+func (l *Lab) end(proc string, left bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, life := range l.lives {
+		if life.proc == proc && life.End.IsZero() {
+			life.End, life.Left = time.Now(), left
+		}
+	}
+}
+
+// Kill sends SIGKILL to processes at one moment, after a last look at what they saw.
+func (l *Lab) Kill(names ...string) error {
+	l.collect(names)
+	for _, n := range names {
+		l.end(n, false)
+	}
+	return l.each(names, func(n string) error { return l.procs.Kill(n) })
+}
+
+// Term sends SIGTERM to processes and waits for their ends.
+func (l *Lab) Term(names ...string) error {
+	l.collect(names)
+	for _, n := range names {
+		l.end(n, true)
+	}
+	return l.each(names, func(n string) error { return l.procs.Term(n) })
+}
+
+// Pause stands processes still for a time.
+func (l *Lab) Pause(d time.Duration, names ...string) error {
+	for _, n := range names {
+		if err := l.procs.Pause(n); err != nil {
+			return err
+		}
+	}
+	time.Sleep(d)
+	return l.each(names, func(n string) error { return l.procs.Resume(n) })
+}
+
+// Starve gives processes a tenth of the time, in slices of 10 ms, for a time.
+func (l *Lab) Starve(d time.Duration, names ...string) error {
+	signal := func(s syscall.Signal) {
+		for _, n := range names {
+			if pid := l.procs.Pid(n); pid != 0 {
+				syscall.Kill(pid, s)
+			}
+		}
+	}
+	for end := time.Now().Add(d); time.Now().Before(end); {
+		signal(syscall.SIGSTOP)
+		time.Sleep(90 * time.Millisecond)
+		signal(syscall.SIGCONT)
+		time.Sleep(10 * time.Millisecond)
+	}
+	return nil
+}
+
+// Live are the names of the processes that run.
+func (l *Lab) Live() (names []string) {
+	for _, n := range l.Names {
+		for _, p := range []string{n, Upgrade(n)} {
+			if l.procs.Running(p) {
+				names = append(names, p)
+			}
+		}
+	}
+	return names
+}
+
+// Some draws a share of the running processes that are no seeds, one at least.
+func (l *Lab) Some(share float64) []string {
+	live := l.Live()
+	var some []string
+	for _, i := range l.draw.Perm(len(live)) {
+		if n := live[i]; n >= l.Names[l.cfg.Seeds] || l.cfg.Seeds == len(l.Names) {
+			some = append(some, n)
+		}
+		if len(some) >= max(1, int(share*float64(len(live)))) {
+			break
+		}
+	}
+	return some
+}
+
+// Status asks a process for its view and its changes after a number.
+func (l *Lab) Status(name string, since uint64) (*fleet.Status, error) {
+	resp, err := l.call.Get(fmt.Sprintf("http://%s/ops/fleet?since=%d", l.door(name, 8001), since))
+	if err != nil {
+		return nil, err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return nil, fmt.Errorf("%s: %s", name, resp.Status)
+	}
+	s := new(fleet.Status)
+	return s, json.NewDecoder(resp.Body).Decode(s)
+}
+
+// collect adds what processes saw since they were last asked to their records, and gives
+// their statuses; a process that does not answer has none.
+func (l *Lab) collect(names []string) map[string]*fleet.Status {
+	var mu sync.Mutex
+	got := map[string]*fleet.Status{}
+	l.each(names, func(n string) error {
+		l.mu.Lock()
+		var since uint64
+		for _, life := range l.lives {
+			if life.proc == n && life.End.IsZero() {
+				since = l.records[life.Process].last()
+			}
+		}
+		l.mu.Unlock()
+		s, err := l.Status(n, since)
+		if err != nil {
+			return nil
+		}
+		l.mu.Lock()
+		if r := l.records[s.Process]; r != nil {
+			r.add(s.Changes)
+		}
+		l.mu.Unlock()
+		mu.Lock()
+		got[n] = s
+		mu.Unlock()
+		return nil
+	})
+	return got
+}
+
+// Excuse tells the checker that for a time members may rightly be declared dead by others.
+func (l *Lab) Excuse(from, to time.Time, pair func(observer, member string) bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.excuses = append(l.excuses, Excuse{from, to, pair})
+}
+
+// Settle waits until all running processes that take part see exactly each other, and gives
+// the time from since on that the last of them took to come to that for good.
+func (l *Lab) Settle(since time.Time, within time.Duration) (time.Duration, error) {
+	var last map[string]*fleet.Status
+	apart := ""
+	err := cluster.Await(within, "all agree", func() bool {
+		time.Sleep(150 * time.Millisecond)
+		last = l.collect(l.Live())
+		apart = Apart(last, l.Live())
+		return apart == ""
+	})
+	if err != nil {
+		return 0, fmt.Errorf("%w: %s", err, apart)
+	}
+	var settled time.Time
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, s := range last {
+		if at := l.records[s.Process].settledAt(s.Digest); at.After(settled) {
+			settled = at
+		}
+	}
+	return max(0, settled.Sub(since)), nil
+}
+
+// Apart says where views differ from each other or from who is there; empty: they agree.
+func Apart(got map[string]*fleet.Status, live []string) string {
+	digests := map[string]int{}
+	present := map[string]bool{}
+	for _, n := range live {
+		s := got[n]
+		if s == nil {
+			return n + " does not answer"
+		}
+		if s.Member {
+			present[s.Self+"/"+s.Process] = true
+		}
+	}
+	for _, n := range live {
+		s := got[n]
+		if !s.Member {
+			continue
+		}
+		digests[s.Digest]++
+		for _, m := range s.Members {
+			there := m.State == fleet.Alive || m.State == fleet.Suspect
+			switch key := m.Name + "/" + m.Process; {
+			case there && !present[key]:
+				return fmt.Sprintf("%s sees %s, which is not there", n, key)
+			case m.State == fleet.Suspect:
+				return fmt.Sprintf("%s suspects %s", n, m.Name)
+			}
+		}
+		if s.Present != len(present) {
+			return fmt.Sprintf("%s sees %d of %d", n, s.Present, len(present))
+		}
+	}
+	if len(digests) > 1 {
+		return fmt.Sprintf("%d digests", len(digests))
+	}
+	return ""
+}
