--- a/internal/agent/management.go
+++ b/internal/agent/management.go
@@ -81,8 +81,8 @@
 	fmt.Fprintln(w, "serving")
 }
 
-// members answers with the fleet view, and with its changes after the number that "since"
-// gives, if it gives one.
+// members answers with the fleet view, without its members if "members" is "none", and with
+// its changes after the number that "since" gives, if it gives one.
 func (m *management) members(w http.ResponseWriter, req *http.Request) {
 	since := uint64(math.MaxUint64)
 	if s := req.FormValue("since"); s != "" {
@@ -94,7 +94,11 @@
 		since = n
 	}
 	w.Header().Set("Content-Type", "application/json")
-	if err := json.NewEncoder(w).Encode(m.fleet.Status(since)); err != nil {
+	status := m.fleet.Status(since)
+	if req.FormValue("members") == "none" {
+		status = status.Brief()
+	}
+	if err := json.NewEncoder(w).Encode(status); err != nil {
 		slog.Warn("fleet view not told", "to", req.RemoteAddr, "err", err)
 	}
 }
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -51,6 +51,8 @@
 type Fleet struct {
 	cfg     Config
 	process string
+	base    uint32        // below this process's incarnations, above those of earlier ones
+	known   chan struct{} // closed once this process is above base
 	log     *logger
 	count   traffic
 	told    chan struct{} // of one: the list may have changed
@@ -92,7 +94,7 @@
 	var id [8]byte
 	rand.Read(id[:]) // never fails
 	f := &Fleet{cfg: cfg, process: hex.EncodeToString(id[:]), log: newLogger(slog.Default()),
-		told: make(chan struct{}, 1), names: map[string]bool{}}
+		told: make(chan struct{}, 1), known: make(chan struct{}), names: map[string]bool{}}
 	f.ctx, f.cancel = context.WithCancel(context.Background())
 	f.table = newTable(&f.cfg, f.process, time.Now())
 	f.view.Store(f.table.view)
@@ -156,6 +158,13 @@
 		return err
 	}
 	f.list.Store(list)
+	// memberlist counts incarnations from one, and what is still told of an earlier process
+	// of this name would be taken for words about this one. A doubt of itself makes it
+	// refute with a higher one.
+	f.base = startIncarnation(time.Now())
+	f.spawn(func() {
+		tr.inject(encodeMessage(msgSuspect, deadMessage{Incarnation: f.base, Node: f.cfg.Name, From: f.cfg.Name}))
+	})
 	f.tell()
 	f.spawn(f.publish)
 	f.spawn(f.heal)
@@ -163,6 +172,14 @@
 	return nil
 }
 
+// startIncarnation is where a process that starts now begins to count: quarters of a second
+// since 2026 began, which a uint32 holds for 34 years. The clock is that of one machine,
+// an agent's own, over its restarts; where it went back, what is told of an earlier
+// process is refuted one by one.
+func startIncarnation(now time.Time) uint32 {
+	return uint32(max(0, now.Sub(time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC))/(250*time.Millisecond)))
+}
+
 // listConfig is memberlist's configuration: its timings in the proportions that it has by
 // default, with a suspicion that lasts at least SuspectTimeoutMs.
 func (f *Fleet) listConfig(tr *transport) *memberlist.Config {
@@ -235,7 +252,7 @@
 func (f *Fleet) publish() {
 	tick := time.NewTicker(snapshotEvery)
 	defer tick.Stop()
-	last, quiet := time.Now(), time.Time{}
+	last, quiet, low := time.Now(), time.Time{}, true
 	for {
 		select {
 		case <-tick.C:
@@ -258,6 +275,10 @@
 			continue
 		}
 		if v := f.snapshot(now); v != nil {
+			if self, _ := v.Member(f.cfg.Name); low && self.Incarnation > f.base {
+				low = false
+				close(f.known)
+			}
 			f.view.Store(v)
 			if f.cfg.OnView != nil {
 				f.cfg.OnView(v)
@@ -316,6 +337,14 @@
 	Changes []Change          `json:"changes,omitempty"`
 }
 
+// Brief is the status without the members.
+func (s Status) Brief() Status {
+	v := *s.View
+	v.Members = nil
+	s.View = &v
+	return s
+}
+
 // Status is what this process knows, with the changes of its view after number since.
 func (f *Fleet) Status(since uint64) Status {
 	now := time.Now()
--- a/internal/fleet/heal.go
+++ b/internal/fleet/heal.go
@@ -19,6 +19,11 @@
 // work of an agent is bounded however many are missing; over a fleet it adds up, so that
 // the first pair to meet after a cut is a matter of milliseconds.
 func (f *Fleet) heal() {
+	select {
+	case <-f.known: // nobody is told of this process before it is above all earlier ones
+	case <-f.ctx.Done():
+		return
+	}
 	bound := f.backoff()
 	wait := time.NewTimer(rand.N(bound.NextBackOff())) // not all at one moment after a power cut
 	defer wait.Stop()
--- a/internal/fleet/view.go
+++ b/internal/fleet/view.go
@@ -50,9 +50,10 @@
 	// that show the same see the same fleet.
 	Digest string `json:"digest"`
 	// Size is the number of agents that the configuration names.
-	Size    int      `json:"size"`
-	Present int      `json:"present"`
-	Members []Member `json:"members"` // by name
+	Size     int      `json:"size"`
+	Present  int      `json:"present"`
+	Suspects int      `json:"suspects"`          // of those that are present
+	Members  []Member `json:"members,omitempty"` // by name
 
 	digest  uint64
 	settle  time.Duration
@@ -138,18 +139,36 @@
 	slices.SortFunc(members, func(a, b Member) int { return strings.Compare(a.Name, b.Name) })
 	v := &View{Self: t.cfg.Name, Process: t.process, Site: t.cfg.Site, Size: t.cfg.Size,
 		Members: members, settle: ms(t.cfg.SettleMs), changed: now}
-	h := xxhash.New()
 	for i := range members {
 		if members[i].State.present() {
 			v.Present++
-			fmt.Fprintf(h, "%s\x00%s\n", members[i].Name, members[i].Process)
+		}
+		if members[i].State == Suspect {
+			v.Suspects++
 		}
 	}
-	v.digest = h.Sum64()
+	v.digest = digest(members)
 	v.Digest = fmt.Sprintf("%016x", v.digest)
 	return v
 }
 
+// digest is a hash of the names and processes that are present, in the order of names.
+func digest(members []Member) uint64 {
+	h := xxhash.New()
+	for i := range members {
+		if members[i].State.present() {
+			fmt.Fprintf(h, "%s\x00%s\n", members[i].Name, members[i].Process)
+		}
+	}
+	return h.Sum64()
+}
+
+// DigestOf is the digest of a view in which exactly these members are present.
+func DigestOf(members []Member) string {
+	sorted := slices.SortedFunc(slices.Values(members), func(a, b Member) int { return strings.Compare(a.Name, b.Name) })
+	return fmt.Sprintf("%016x", digest(sorted))
+}
+
 // update takes a snapshot of memberlist's list and tells whether the view changed. Dead
 // members that memberlist has forgotten stay, so that they can be sought, for
 // ReconnectForMs; those that left go with it.
@@ -208,6 +227,9 @@
 }
 
 func (t *table) retire(name, process string) {
+	if len(t.retired) > 4*t.cfg.maxMembers() {
+		clear(t.retired) // names that come and go for ever: what is late of them is refuted
+	}
 	t.retired[name] = append([]string{process}, t.retired[name]...)
 	t.retired[name] = t.retired[name][:min(len(t.retired[name]), keptRetired)]
 }
--- a/internal/fleetlab/check.go
+++ b/internal/fleetlab/check.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"strings"
 	"time"
 
 	"clayproxy.example/clayproxy/internal/fleet"
@@ -189,6 +190,40 @@
 	return Check(l.lives, l.list(), l.excuses)
 }
 
+// course is what all processes saw of one, in the order of time.
+func (l *Lab) course(process string) string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	type step struct {
+		at   int64
+		text string
+	}
+	var steps []step
+	at := func(t time.Time) string { return t.Format("05.000000") }
+	for _, life := range l.lives {
+		if life.Process == process {
+			steps = append(steps, step{life.Start.UnixMicro(), at(life.Start) + " started"})
+			if !life.End.IsZero() {
+				steps = append(steps, step{life.End.UnixMicro(), at(life.End) + fmt.Sprintf(" ended, orderly: %v", life.Left)})
+			}
+		}
+	}
+	for _, r := range l.records {
+		for _, c := range r.Changes {
+			if c.Process == process {
+				steps = append(steps, step{c.UnixUs, fmt.Sprintf("%s %s/%s: %q to %q, incarnation %d, draining %v, view %d",
+					at(time.UnixMicro(c.UnixUs)), r.Observer, r.Process, c.From, c.To, c.Incarnation, c.Draining, c.Number)})
+			}
+		}
+	}
+	slices.SortFunc(steps, func(a, b step) int { return int(a.at - b.at) })
+	var b strings.Builder
+	for _, s := range steps[max(0, len(steps)-60):] {
+		fmt.Fprintln(&b, s.text)
+	}
+	return b.String()
+}
+
 // list are the records. The caller holds mu.
 func (l *Lab) list() (records []*Record) {
 	for _, r := range l.records {
