Watch three ring successors by open connections; probe once a second

Symptom: 300 agents on one machine never settled; 5 of 6 processors went to probes every 300 ms, reading the list ten times a second and parsing what members told of themselves, and suspicion of starved members fed itself. Ruled out: descriptors (the lab's ran out after, not before). Change: a process that ends ends its connections, so each member watches three successors by one and confirms with refused calls; SWIM's probes go from 300 ms to 1 s; the list is read for at most 2 % of the time; what members tell of themselves is parsed once.

--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -120,6 +120,8 @@
 		cmd.Env = append(os.Environ(), c.cfg.Env(name)...)
 	}
 	cmd.Stdout, cmd.Stderr, cmd.ExtraFiles = logf, logf, files
+	// However this program ends, none of its processes stays.
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := cmd.Start(); err != nil {
 		return fmt.Errorf("cluster: start %s: %w", name, err)
 	}
--- a/internal/fleet/config.go
+++ b/internal/fleet/config.go
@@ -29,7 +29,7 @@
 	// as CIDR; default: no bound.
 	Networks []string `json:"networks"`
 
-	// ProbeIntervalMs is how often one other member is probed; default 300, 50 to 10,000.
+	// ProbeIntervalMs is how often one other member is probed; default 1,000, 50 to 10,000.
 	ProbeIntervalMs int `json:"probe_interval_ms"`
 	// SuspectTimeoutMs is how long a silent member is suspected, at least, before it is
 	// declared dead; default 5,000, from 4 probe intervals to 60,000. A process that
@@ -109,7 +109,7 @@
 		ms           *int
 		def, lo, top int
 	}{
-		{"probe_interval_ms", &c.ProbeIntervalMs, 300, 50, 10_000},
+		{"probe_interval_ms", &c.ProbeIntervalMs, 1000, 50, 10_000},
 		{"suspect_timeout_ms", &c.SuspectTimeoutMs, 5000, 4 * max(c.ProbeIntervalMs, 50), 60_000},
 		{"settle_ms", &c.SettleMs, 2000, 1, 60_000},
 		{"forget_ms", &c.ForgetMs, 30_000, 1000, 600_000},
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -35,8 +35,12 @@
 )
 
 const (
-	// snapshotEvery is how often the list is read at the most.
-	snapshotEvery = 100 * time.Millisecond
+	// The list is read snapshotEvery at the most often, and so seldom that reading takes a
+	// snapshotShare of the time, but each snapshotSlowest: what a change costs is bounded
+	// whatever the fleet's size, and less is done when the machine is short of time.
+	snapshotEvery   = 100 * time.Millisecond
+	snapshotSlowest = time.Second
+	snapshotShare   = 0.02
 	// stallAfter is how late the reader of the list may be before this process is taken
 	// to have stood still. What it then reads first is old: its timers have run out, and
 	// what answered them waits in its sockets. So nothing is published for wakeFor.
@@ -66,6 +70,7 @@
 	syncs    atomic.Uint64 // exchanges with members that had another digest
 	gone     atomic.Uint64 // members that were declared dead as their address refused
 
+	metas   metaCache
 	mu      sync.Mutex
 	table   *table
 	names   map[string]bool // admitted since the last snapshot, and its names
@@ -169,6 +174,7 @@
 	f.spawn(f.publish)
 	f.spawn(f.heal)
 	f.spawn(f.confirm)
+	f.spawn(f.watch)
 	return nil
 }
 
@@ -180,8 +186,8 @@
 	return uint32(max(0, now.Sub(time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC))/(250*time.Millisecond)))
 }
 
-// listConfig is memberlist's configuration: its timings in the proportions that it has by
-// default, with a suspicion that lasts at least SuspectTimeoutMs.
+// listConfig is memberlist's configuration: its timings mostly in the proportions that it has
+// by default, with a suspicion that lasts at least SuspectTimeoutMs.
 func (f *Fleet) listConfig(tr *transport) *memberlist.Config {
 	c := memberlist.DefaultLANConfig()
 	adv, _ := net.ResolveTCPAddr("tcp", f.cfg.Advertise) // complete has checked it
@@ -189,11 +195,11 @@
 	c.BindPort, c.AdvertiseAddr, c.AdvertisePort = adv.Port, adv.IP.String(), adv.Port
 	c.CIDRsAllowed = f.cfg.networks()
 	c.EnableCompression = false
-	c.TCPTimeout = 3 * time.Second
+	c.TCPTimeout = streamTime
 	c.ProbeInterval = ms(f.cfg.ProbeIntervalMs)
 	c.ProbeTimeout = c.ProbeInterval / 2
 	c.SuspicionMult, c.SuspicionMaxTimeoutMult = f.cfg.suspicionMult(), 2
-	c.GossipInterval = max(c.ProbeInterval/3, 20*time.Millisecond)
+	c.GossipInterval, c.RetransmitMult = max(c.ProbeInterval/8, 20*time.Millisecond), 3
 	c.GossipToTheDeadTime = ms(f.cfg.ForgetMs)
 	c.DeadNodeReclaimTime = ms(f.cfg.ReclaimMs)
 	c.HandoffQueueDepth = 4096
@@ -252,7 +258,7 @@
 func (f *Fleet) publish() {
 	tick := time.NewTicker(snapshotEvery)
 	defer tick.Stop()
-	last, quiet, low := time.Now(), time.Time{}, true
+	last, quiet, next, low := time.Now(), time.Time{}, time.Time{}, true
 	for {
 		select {
 		case <-tick.C:
@@ -269,12 +275,18 @@
 		if now.Before(quiet) {
 			continue
 		}
+		if now.Before(next) {
+			continue
+		}
 		select {
 		case <-f.told:
 		default:
 			continue
 		}
-		if v := f.snapshot(now); v != nil {
+		v := f.snapshot(now)
+		took := time.Since(now)
+		next = now.Add(min(snapshotSlowest, time.Duration(float64(took)/snapshotShare)))
+		if v != nil {
 			if self, _ := v.Member(f.cfg.Name); low && self.Incarnation > f.base {
 				low = false
 				close(f.known)
@@ -304,7 +316,7 @@
 	members := make([]Member, 0, len(nodes))
 	names := make(map[string]bool, len(nodes))
 	for _, n := range nodes {
-		m, err := parseMeta(n.Meta)
+		m, err := f.metas.parse(n.Meta)
 		if err != nil {
 			continue // NotifyAlive lets none in
 		}
@@ -392,7 +404,7 @@
 	if n.Name == f.cfg.Name {
 		return nil // what is wrong of it is refuted
 	}
-	m, err := parseMeta(n.Meta)
+	m, err := f.metas.parse(n.Meta)
 	if err != nil {
 		return err
 	}
--- a/internal/fleet/transport.go
+++ b/internal/fleet/transport.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/binary"
 	"errors"
 	"fmt"
@@ -20,14 +21,21 @@
 	maxFrame = 1 << 20
 	// maxStreams bounds the streams from others at a time; more wait unaccepted.
 	maxStreams = 6
+	// maxWatchers bounds the connections of those that watch this member: mostly as many
+	// as it watches, more where views differ.
+	maxWatchers = 3 * watched
+	// streamTime bounds how long a stream may take, as memberlist has it for its own.
+	streamTime = 3 * time.Second
 	// viewPeer is the name under which memberlist is asked for its own list; no member
 	// may have it.
 	viewPeer = "@view"
 )
 
 // Sockets is how many descriptors a fleet view takes at the most: its two sockets, streams
-// from others, and as many to them.
-const Sockets = 2 + 2*maxStreams
+// from others, as many to them, and the watchers' and the watched members' connections.
+const Sockets = 2 + 2*maxStreams + maxWatchers + watched
+
+var errTooMany = errors.New("too many watchers")
 
 // traffic counts what passes and what is dropped, since the start.
 type traffic struct {
@@ -43,16 +51,19 @@
 // is known by it.
 type transport struct {
 	*memberlist.NetTransport
-	cfg     *Config
-	local   net.IP
-	nets    []net.IPNet
-	logger  *log.Logger
-	count   *traffic
-	packets chan *memberlist.Packet
-	streams chan net.Conn
-	slots   chan struct{}
-	closed  chan struct{}
-	ended   chan struct{}
+	cfg      *Config
+	local    net.IP
+	nets     []net.IPNet
+	logger   *log.Logger
+	count    *traffic
+	packets  chan *memberlist.Packet
+	streams  chan net.Conn
+	slots    chan struct{}
+	watchers chan struct{}
+	ctx      context.Context // done at Shutdown
+	end      context.CancelFunc
+	closed   chan struct{}
+	ended    chan struct{}
 	// told is called when a packet came or went that says something of a member's state.
 	told func()
 	// list is what memberlist last told viewPeer; only the goroutine that asks uses it.
@@ -70,8 +81,9 @@
 		return nil, err
 	}
 	t := &transport{NetTransport: inner, cfg: cfg, local: addr.IP, nets: cfg.networks(), logger: logger, count: count,
-		packets: make(chan *memberlist.Packet), streams: make(chan net.Conn), slots: make(chan struct{}, maxStreams),
+		packets: make(chan *memberlist.Packet), streams: make(chan net.Conn), slots: make(chan struct{}, maxStreams), watchers: make(chan struct{}, maxWatchers),
 		closed: make(chan struct{}), ended: make(chan struct{}), told: told}
+	t.ctx, t.end = context.WithCancel(context.Background())
 	go t.takePackets()
 	go t.takeStreams()
 	return t, nil
@@ -84,6 +96,7 @@
 // transport beneath has ended, which waits for that.
 func (t *transport) Shutdown() error {
 	close(t.closed)
+	t.end()
 	err := t.NetTransport.Shutdown()
 	close(t.ended)
 	return err
@@ -167,13 +180,8 @@
 		}
 		select {
 		case c := <-t.NetTransport.StreamCh():
-			f := &framed{Conn: c, t: t, release: sync.OnceFunc(func() { <-t.slots })}
 			t.count.streams.Add(1)
-			select {
-			case t.streams <- f:
-			case <-t.closed:
-				f.Close()
-			}
+			go t.open(&framed{Conn: c, t: t, release: sync.OnceFunc(func() { <-t.slots })})
 		case <-t.closed:
 			t.drain()
 			return
@@ -181,6 +189,52 @@
 	}
 }
 
+// open reads a stream's label and first message: a watcher's is kept, any other is for
+// memberlist.
+func (t *transport) open(f *framed) {
+	f.SetDeadline(time.Now().Add(streamTime))
+	err := f.next()
+	label := f.rest
+	if err == nil && label[0] == msgLabel {
+		err = f.next()
+	}
+	if err != nil {
+		f.Close()
+		return
+	}
+	if f.rest[0] == msgWatch {
+		t.watched(f)
+		return
+	}
+	f.rest = append(bytes.Clone(label), f.rest...)
+	select {
+	case t.streams <- f:
+	case <-t.closed:
+		f.Close()
+	}
+}
+
+// watched answers a watcher and keeps its connection until either side ends. It takes no
+// place among the streams; those of the watchers are bounded on their own, and one too many is
+// answered and ended: it comes again.
+func (t *transport) watched(f *framed) {
+	_, err := f.Write([]byte{msgWatch})
+	f.release()
+	select {
+	case t.watchers <- struct{}{}:
+		defer func() { <-t.watchers }()
+	default:
+		err = errTooMany
+	}
+	if err == nil {
+		f.SetDeadline(time.Time{})
+		stop := context.AfterFunc(t.ctx, func() { f.Close() })
+		defer stop()
+		f.Conn.Read(make([]byte, 1)) // nothing comes; it ends
+	}
+	f.Close()
+}
+
 // allowed tells whether something may be sent to an address.
 func (t *transport) allowed(addr string) error {
 	host, _, err := net.SplitHostPort(addr)
--- a/internal/fleet/view.go
+++ b/internal/fleet/view.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"slices"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -257,3 +258,30 @@
 	}
 	return m, nil
 }
+
+// metaCache keeps what members told of themselves, read: the same bytes come again with
+// each word about them.
+type metaCache struct {
+	mu   sync.Mutex
+	read map[string]meta
+}
+
+// maxMetas bounds the cache; past it, it begins anew.
+const maxMetas = 4096
+
+func (c *metaCache) parse(b []byte) (meta, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if m, ok := c.read[string(b)]; ok {
+		return m, nil
+	}
+	m, err := parseMeta(b)
+	if err != nil {
+		return m, err
+	}
+	if c.read == nil || len(c.read) >= maxMetas {
+		c.read = map[string]meta{}
+	}
+	c.read[string(b)] = m
+	return m, nil
+}
--- /dev/null
+++ b/internal/fleet/watch.go
@@ -0,0 +1,209 @@
+package fleet
+
+import (
+	"errors"
+	"io"
+	"math/rand/v2"
+	"net"
+	"os"
+	"slices"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/hashicorp/memberlist"
+)
+
+// watched is how many members each one watches by an open connection: its successors on a
+// ring of hashed names. When a process ends its connections end with it, so that a crash
+// is known at once by up to so many others; only what falls silent is left to the probes,
+// which can be slow then and make no false alarms under load.
+const watched = 3
+
+// msgWatch begins a stream that stays open for as long as both processes live. It is no
+// message of memberlist's.
+const msgWatch = 200
+
+// watch keeps the connections to this member's successors.
+func (f *Fleet) watch() {
+	open := map[string]net.Conn{} // by process
+	var mu sync.Mutex
+	look := time.NewTicker(ms(f.cfg.ProbeIntervalMs) / 4)
+	defer look.Stop()
+	var ended sync.WaitGroup
+	defer func() {
+		mu.Lock()
+		for _, c := range open {
+			c.Close()
+		}
+		mu.Unlock()
+		ended.Wait()
+	}()
+	for {
+		select {
+		case <-f.ctx.Done():
+			return
+		case <-look.C:
+		}
+		want := f.successors()
+		mu.Lock()
+		for process, c := range open {
+			if !slices.ContainsFunc(want, func(m Member) bool { return m.Process == process }) {
+				delete(open, process)
+				c.Close()
+			}
+		}
+		var begin []Member
+		for _, m := range want {
+			if open[m.Process] == nil {
+				begin = append(begin, m)
+			}
+		}
+		mu.Unlock()
+		for _, m := range begin {
+			c, err := f.openWatch(&m)
+			if err != nil {
+				continue // the next look tries again; that it is gone is for confirm
+			}
+			mu.Lock()
+			open[m.Process] = c
+			mu.Unlock()
+			ended.Add(1)
+			go func() {
+				defer ended.Done()
+				c.Read(make([]byte, 1)) // nothing comes; it ends
+				c.Close()
+				mu.Lock()
+				mine := open[m.Process] == c
+				if mine {
+					delete(open, m.Process)
+				}
+				mu.Unlock()
+				if mine && f.ctx.Err() == nil {
+					f.ended(&m)
+				}
+			}()
+		}
+	}
+}
+
+// successors are the members that this one watches: those whose hashed names follow its own.
+func (f *Fleet) successors() []Member {
+	v := f.view.Load()
+	own := xxhash.Sum64String(f.cfg.Name)
+	var there []Member
+	for _, m := range v.Members {
+		if m.State == Alive && m.Name != f.cfg.Name {
+			there = append(there, m)
+		}
+	}
+	after := func(m Member) uint64 { return xxhash.Sum64String(m.Name) - own }
+	slices.SortFunc(there, func(a, b Member) int {
+		if after(a) < after(b) {
+			return -1
+		}
+		return 1
+	})
+	return there[:min(watched, len(there))]
+}
+
+// openWatch opens a connection to a member and has it acknowledged.
+func (f *Fleet) openWatch(m *Member) (net.Conn, error) {
+	c, err := f.tr.DialAddressTimeout(memberlist.Address{Name: m.Name, Addr: m.Addr}, ms(f.cfg.ProbeIntervalMs))
+	if err != nil {
+		return nil, err
+	}
+	c.SetDeadline(time.Now().Add(ms(f.cfg.ProbeIntervalMs)))
+	err = memberlist.AddLabelHeaderToStream(c, f.cfg.Site)
+	if err == nil {
+		_, err = c.Write(append([]byte{msgWatch}, f.cfg.Name...))
+	}
+	if err == nil {
+		_, err = c.Read(make([]byte, 1))
+	}
+	if err != nil {
+		c.Close()
+		return nil, err
+	}
+	return c, c.SetDeadline(time.Time{})
+}
+
+// ended is called when a watched member's connection ended: if its address refuses calls
+// its process is gone.
+func (f *Fleet) ended(m *Member) {
+	if now, ok := f.view.Load().Member(m.Name); ok && now.Process == m.Process && now.State.present() && f.refuses(m) {
+		f.declareGone(&now)
+	}
+}
+
+// declareGone tells memberlist, and so the fleet, that a member is dead.
+func (f *Fleet) declareGone(m *Member) {
+	f.gone.Add(1)
+	f.log.Info("fleet: a member's address refuses calls", "name", m.Name, "addr", m.Addr)
+	f.tr.inject(encodeMessage(msgDead, deadMessage{Incarnation: m.Incarnation, Node: m.Name, From: f.cfg.Name}))
+}
+
+// checkers is how many agents look at a suspect in each probe interval, on average over
+// the fleet, and sure how many refusals one after the other declare it dead.
+const (
+	checkers = 3
+	sure     = 2
+)
+
+// confirm looks at suspects: where the address refuses calls, or ends them without a word,
+// the process is gone (PROTOCOL, "The network"), and it is declared dead without waiting
+// for the rest of the suspicion. One that stands still or is cut off says nothing, and
+// keeps its time.
+func (f *Fleet) confirm() {
+	look := time.NewTicker(ms(f.cfg.ProbeIntervalMs) / 2)
+	defer look.Stop()
+	for {
+		select {
+		case <-f.ctx.Done():
+			return
+		case <-look.C:
+		}
+		v := f.view.Load()
+		for i := range v.Members {
+			if m := &v.Members[i]; m.State == Suspect && rand.IntN(max(1, v.Present)) < checkers {
+				if f.refuses(m) {
+					f.declareGone(m)
+				}
+				break // one at a time: the others have their checkers
+			}
+		}
+	}
+}
+
+func (f *Fleet) refuses(m *Member) bool {
+	for range sure {
+		if !f.refusesOnce(m) {
+			return false
+		}
+		select {
+		case <-time.After(ms(f.cfg.ProbeIntervalMs) / 20):
+		case <-f.ctx.Done():
+			return false
+		}
+	}
+	return true
+}
+
+// refusesOnce makes one call and tells whether it was refused, reset or ended before its
+// answer. No answer in time is no refusal.
+func (f *Fleet) refusesOnce(m *Member) bool {
+	c, err := f.openWatch(m)
+	if err == nil {
+		c.Close()
+		return false
+	}
+	var timeout net.Error
+	return !errors.Is(err, os.ErrDeadlineExceeded) && !(errors.As(err, &timeout) && timeout.Timeout()) && ended(err)
+}
+
+// ended tells whether a call failed because nobody is there: it was refused, reset or ended.
+func ended(err error) bool {
+	return errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET) ||
+		errors.Is(err, syscall.EPIPE) || errors.Is(err, io.EOF)
+}
--- a/internal/fleet/wire.go
+++ b/internal/fleet/wire.go
@@ -164,7 +164,7 @@
 	case msgPushPull:
 		_, err = readPushPull(b[1:], maxNodes)
 		return err
-	case msgPing, msgAck, msgError:
+	case msgPing, msgAck, msgError, msgWatch:
 		return nil
 	}
 	return fmt.Errorf("stream message of type %d", b[0])
--- a/internal/fleetlab/lab.go
+++ b/internal/fleetlab/lab.go
@@ -218,7 +218,7 @@
 		}
 		var s *fleet.Status
 		if err := cluster.Await(time.Minute, n+" answers its operators", func() bool {
-			s, _ = l.Status(n, 0)
+			s, _ = l.Status(n, 1<<62)
 			return s != nil
 		}); err != nil {
 			return err
@@ -332,7 +332,10 @@
 		return nil, fmt.Errorf("%s: %s", name, resp.Status)
 	}
 	s := new(fleet.Status)
-	return s, json.NewDecoder(resp.Body).Decode(s)
+	if err := json.NewDecoder(resp.Body).Decode(s); err != nil {
+		return nil, err
+	}
+	return s, nil
 }
 
 // collect adds what processes saw since they were last asked to their records, and gives
