Ask a suspect oneself once its suspicion is half over; name a bad section's first key

Symptom: at 300, with 60 paused for 3 s, a view in 300 had a paused member dead. Its log: 'Marking a136 as failed, suspect timeout reached' 12 s after a136 refuted, so the refutation was missed there. Beside it the section's test failed once in some runs: keys were checked in a map's order. Change: a suspicion older than half its time makes its holder ask the suspect, now and then; keys are checked in the section's order.

--- a/internal/fleet/config.go
+++ b/internal/fleet/config.go
@@ -84,14 +84,14 @@
 	if c.Advertise == "" {
 		c.Advertise = c.Bind
 	}
-	addrs := map[string]string{"bind": c.Bind, "advertise": c.Advertise}
+	addrs := [][2]string{{"bind", c.Bind}, {"advertise", c.Advertise}}
 	for i, s := range c.Seeds {
-		addrs[fmt.Sprintf("seeds[%d]", i)] = s
+		addrs = append(addrs, [2]string{fmt.Sprintf("seeds[%d]", i), s})
 	}
-	for key, value := range addrs {
-		a, err := netip.ParseAddrPort(value)
-		if err != nil || a.Port() == 0 || a.Addr().IsUnspecified() {
-			return fmt.Errorf("fleet: %s: %q is no IP:port of one machine", key, value)
+	for _, a := range addrs {
+		at, err := netip.ParseAddrPort(a[1])
+		if err != nil || at.Port() == 0 || at.Addr().IsUnspecified() {
+			return fmt.Errorf("fleet: %s: %q is no IP:port of one machine", a[0], a[1])
 		}
 	}
 	if c.Site == "" || len(c.Site) > 64 {
--- a/internal/fleet/watch.go
+++ b/internal/fleet/watch.go
@@ -166,7 +166,7 @@
 		v, odd := f.view.Load(), f.odd()
 		for i := range v.Members {
 			m := &v.Members[i]
-			if m.State != Suspect || !odd && rand.IntN(max(1, v.Present)) >= checkers {
+			if m.State != Suspect || !odd && !f.overdue(m) && rand.IntN(max(1, v.Present)) >= checkers {
 				continue
 			}
 			switch f.ask(m) {
@@ -180,6 +180,16 @@
 	}
 }
 
+// overdue tells, now and then, that a suspicion is half over: the others may long have heard
+// its refutation, which this process missed, so it asks for itself.
+func (f *Fleet) overdue(m *Member) bool {
+	return time.Since(m.since) > ms(f.cfg.SuspectTimeoutMs)/2 && rand.IntN(overdueOneIn) == 0
+}
+
+// overdueOneIn is in how many looks an overdue suspect is asked once, so that a machine that
+// stands still is not called by all at one moment.
+const overdueOneIn = 6
+
 // odd tells whether this process's digest was lately another than that of members it
 // probed: what it doubts then may long be decided (memberlist takes another's dead member
 // for a suspect), so it asks for itself.
