One client for the fleet's door, one quantile; drop what the fleet lab wrote twice

Need: a second reading of the change. fernfleet and the lab each had a client of GET /ops/fleet; two quantiles; a duration type that the TOML library has; an excuse added and taken back; a second wait before a restart; a message shape that nothing used; two comments with wrong bounds. Change: fleet.Ask, fleetlab.Quantile for both, time.Duration in the plan, the rest removed.

--- a/cmd/fernfleet/experiment.go
+++ b/cmd/fernfleet/experiment.go
@@ -24,42 +24,35 @@
 // plan is the TOML file of an experiment. Times are such as "300ms"; what is left out has
 // the value that --help names.
 type plan struct {
-	Binary string   `toml:"binary"` // the built agent
-	Agents int      `toml:"agents"`
-	Seeds  int      `toml:"seeds"`
-	Seed   uint64   `toml:"seed"`
-	Runs   int      `toml:"runs"`  // of each case
-	Cases  []string `toml:"cases"` // empty: all
-	Costs  duration `toml:"costs"` // how long traffic, CPU, memory and latency are measured
-
-	Cut    duration `toml:"cut"`
-	Long   duration `toml:"long"`
-	Pause  duration `toml:"pause"`
-	Faulty duration `toml:"faulty"`
-	Loss   duration `toml:"loss"`
-	Within duration `toml:"within"`
-
-	Probe     duration `toml:"probe_interval"`
-	Suspect   duration `toml:"suspect_timeout"`
-	Settle    duration `toml:"settle"`
-	Forget    duration `toml:"forget"`
-	Reclaim   duration `toml:"reclaim"`
-	Reconnect duration `toml:"reconnect"`
-}
-
-type duration struct{ time.Duration }
-
-func (d *duration) UnmarshalText(text []byte) (err error) {
-	d.Duration, err = time.ParseDuration(string(text))
-	return err
+	Binary string        `toml:"binary"` // the built agent
+	Agents int           `toml:"agents"`
+	Seeds  int           `toml:"seeds"`
+	Seed   uint64        `toml:"seed"`
+	Runs   int           `toml:"runs"`  // of each case
+	Cases  []string      `toml:"cases"` // empty: all
+	Costs  time.Duration `toml:"costs"` // how long traffic, CPU, memory and latency are measured
+
+	Cut    time.Duration `toml:"cut"`
+	Long   time.Duration `toml:"long"`
+	Pause  time.Duration `toml:"pause"`
+	Faulty time.Duration `toml:"faulty"`
+	Loss   time.Duration `toml:"loss"`
+	Within time.Duration `toml:"within"`
+
+	Probe     time.Duration `toml:"probe_interval"`
+	Suspect   time.Duration `toml:"suspect_timeout"`
+	Settle    time.Duration `toml:"settle"`
+	Forget    time.Duration `toml:"forget"`
+	Reclaim   time.Duration `toml:"reclaim"`
+	Reconnect time.Duration `toml:"reconnect"`
 }
 
-func (d duration) ms() int { return int(d.Milliseconds()) }
+func msOf(d time.Duration) int { return int(d.Milliseconds()) }
 
 func defaultPlan() plan {
-	s := func(n float64) duration { return duration{time.Duration(n * float64(time.Second))} }
-	return plan{Binary: "bin/ringtrack", Agents: 24, Seeds: 3, Seed: 1, Runs: 1, Cut: s(5), Long: s(45), Pause: s(3),
-		Faulty: s(20), Loss: s(60), Within: s(120), Forget: s(10)}
+	return plan{Binary: "bin/ringtrack", Agents: 24, Seeds: 3, Seed: 1, Runs: 1, Cut: 5 * time.Second,
+		Long: 45 * time.Second, Pause: 3 * time.Second, Faulty: 20 * time.Second, Loss: time.Minute,
+		Within: 2 * time.Minute, Forget: 10 * time.Second}
 }
 
 func loadPlan(path string) (plan, error) {
@@ -141,7 +134,7 @@
 			fmt.Fprintln(out, row)
 		}
 	}
-	if p.Costs.Duration > 0 {
+	if p.Costs > 0 {
 		s := p.costs()
 		samples = append(samples, s)
 		failed += len(s.Failed)
@@ -174,7 +167,7 @@
 		return 0
 	}
 	kb := 0
-	for _, line := range slices.Collect(strings.Lines(string(text))) {
+	for line := range strings.Lines(string(text)) {
 		fmt.Sscanf(line, "MemAvailable: %d kB", &kb)
 	}
 	return kb >> 10
@@ -190,8 +183,8 @@
 		return nil, nil, err
 	}
 	l, err := fleetlab.New(fleetlab.Config{Binary: binary, Dir: dir, N: p.Agents, Seeds: p.Seeds, Seed: seed, Alone: alone,
-		Fleet: fleet.Config{ProbeIntervalMs: p.Probe.ms(), SuspectTimeoutMs: p.Suspect.ms(), SettleMs: p.Settle.ms(),
-			ForgetMs: p.Forget.ms(), ReclaimMs: p.Reclaim.ms(), ReconnectMs: p.Reconnect.ms()}})
+		Fleet: fleet.Config{ProbeIntervalMs: msOf(p.Probe), SuspectTimeoutMs: msOf(p.Suspect), SettleMs: msOf(p.Settle),
+			ForgetMs: msOf(p.Forget), ReclaimMs: msOf(p.Reclaim), ReconnectMs: msOf(p.Reconnect)}})
 	if err != nil {
 		os.RemoveAll(dir)
 		return nil, nil, err
@@ -200,8 +193,8 @@
 }
 
 func (p plan) scale() fleetlab.Scale {
-	return fleetlab.Scale{Cut: p.Cut.Duration, Long: p.Long.Duration, Pause: p.Pause.Duration, Faulty: p.Faulty.Duration,
-		Loss: p.Loss.Duration, Within: p.Within.Duration}
+	return fleetlab.Scale{Cut: p.Cut, Long: p.Long, Pause: p.Pause, Faulty: p.Faulty,
+		Loss: p.Loss, Within: p.Within}
 }
 
 // sample plays a case as often as the plan says, on one fleet; a run that fails ends the
@@ -242,15 +235,15 @@
 	l, done, err := p.lab(p.Seed, alone)
 	if err == nil {
 		defer done()
-		err = l.StartSettled(p.Within.Duration)
+		err = l.StartSettled(p.Within)
 	}
 	var m fleetlab.Measures
 	if err == nil {
-		m, err = l.Costs(p.Costs.Duration)
+		m, err = l.Costs(p.Costs)
 	}
 	if err == nil {
 		s.Runs = append(s.Runs, m)
-		m, err = l.Latency(l.Names[p.Agents-3], l.Names[p.Agents-1], 100, p.Costs.Duration)
+		m, err = l.Latency(l.Names[p.Agents-3], l.Names[p.Agents-1], 100, p.Costs)
 	}
 	if err != nil {
 		s.Failed = append(s.Failed, err.Error())
--- a/cmd/fernfleet/main.go
+++ b/cmd/fernfleet/main.go
@@ -8,7 +8,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net/http"
 	"os"
 	"os/signal"
 	"slices"
@@ -75,7 +74,7 @@
 		go func() {
 			defer wg.Done()
 			views[i].Addr = addr
-			s, err := askOne(ctx, addr)
+			s, err := fleet.Ask(ctx, addr, "")
 			if err != nil {
 				views[i].Error = err.Error()
 				return
@@ -87,29 +86,6 @@
 	return views
 }
 
-func askOne(ctx context.Context, addr string) (*fleet.Status, error) {
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+addr+"/ops/fleet", nil)
-	if err != nil {
-		return nil, err
-	}
-	resp, err := http.DefaultClient.Do(req)
-	if err != nil {
-		return nil, err
-	}
-	defer resp.Body.Close()
-	if resp.StatusCode == http.StatusNotFound {
-		return nil, fmt.Errorf("keeps no fleet view")
-	}
-	if resp.StatusCode != http.StatusOK {
-		return nil, fmt.Errorf("answered %s", resp.Status)
-	}
-	s := &fleet.Status{View: new(fleet.View)}
-	if err := json.NewDecoder(io.LimitReader(resp.Body, 16<<20)).Decode(s); err != nil {
-		return nil, fmt.Errorf("can't be read: %w", err)
-	}
-	return s, nil
-}
-
 // show prints a line for each agent, then a line for each member that not all see alike.
 func show(w io.Writer, views []answer) error {
 	out := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
--- a/internal/fleet/config.go
+++ b/internal/fleet/config.go
@@ -32,9 +32,8 @@
 	// ProbeIntervalMs is how often one other member is probed; default 1,000, 50 to 10,000.
 	ProbeIntervalMs int `json:"probe_interval_ms"`
 	// SuspectTimeoutMs is how long a silent member is suspected, at least, before it is
-	// declared dead; default 5,000 or 5 probe intervals, if
-	// those are more; from 4 probe intervals to 60,000. A process that
-	// stands still for less is never declared dead.
+	// declared dead; default 5,000, or 5 probe intervals if those are more; from 4 probe
+	// intervals to 60,000. A process that stands still for less is never declared dead.
 	SuspectTimeoutMs int `json:"suspect_timeout_ms"`
 	// SettleMs is how long a member has to be alive in the view before anything is
 	// concluded from it; default 2,000, up to 60,000.
@@ -50,7 +49,7 @@
 	// 5,000, from 100 to 600,000.
 	ReconnectMs int `json:"reconnect_ms"`
 	// ReconnectForMs is how long a dead member is tried before it is given up; default
-	// 86,400,000 (a day), 0 (the default) up to 30 days.
+	// 86,400,000 (a day), from 1 to 30 days.
 	ReconnectForMs int `json:"reconnect_for_ms"`
 	// LeaveMs bounds how long telling the others takes at an orderly end; default 1,500,
 	// from 1 to 10,000.
--- a/internal/fleet/wire.go
+++ b/internal/fleet/wire.go
@@ -52,11 +52,6 @@
 	From        string
 }
 
-type pingMessage struct {
-	SeqNo uint32
-	Node  string
-}
-
 type errorMessage struct{ Error string }
 
 var errNested = errors.New("nested too deep")
--- a/internal/fleetlab/cases.go
+++ b/internal/fleetlab/cases.go
@@ -157,9 +157,6 @@
 
 // restartAtOnce kills processes and starts them again under the same names and addresses.
 func restartAtOnce(l *Lab, s Scale) (Measures, error) {
-	if _, err := l.Settle(time.Now(), s.Within); err != nil {
-		return nil, err
-	}
 	some := l.Some(0.15)
 	began := time.Now()
 	if err := l.each(some, func(n string) error { return errors.Join(l.Kill(n), l.Start(n)) }); err != nil {
@@ -216,12 +213,11 @@
 	live := l.Live()
 	third := len(live) / 3
 	began := time.Now()
-	healed, err := l.partitioned(Scale{}, hold(s.Faulty), live[:third], live[2*third:])
-	if err != nil {
-		return nil, err
-	}
-	l.excuses = l.excuses[:len(l.excuses)-1] // B carries the word: nobody may be declared dead
-	m, err := l.settled(nil, healed, s)
+	// B carries the word: nobody may be declared dead, so there is no excuse.
+	l.Board.Partition("case", live[:third], live[2*third:])
+	time.Sleep(s.Faulty)
+	l.Board.Heal("case")
+	m, err := l.settled(nil, time.Now(), s)
 	return l.flapped(m, began), err
 }
 
--- a/internal/fleetlab/check.go
+++ b/internal/fleetlab/check.go
@@ -174,8 +174,8 @@
 	return took, missing
 }
 
-// Quantile is a quantile (0 to 1) of times in order; 0 of none.
-func Quantile(of []time.Duration, q float64) time.Duration {
+// Quantile is a quantile (0 to 1) of values in order; 0 of none.
+func Quantile[T time.Duration | float64](of []T, q float64) T {
 	if len(of) == 0 {
 		return 0
 	}
--- a/internal/fleetlab/costs.go
+++ b/internal/fleetlab/costs.go
@@ -191,8 +191,7 @@
 	for _, k := range names {
 		v := figures[k]
 		slices.Sort(v)
-		at := func(q float64) float64 { return v[min(len(v)-1, int(q*float64(len(v))))] }
-		rows = append(rows, fmt.Sprintf("| %s | %s | %d | %.4g | %.4g | %.4g |", s.Case, k, len(v), at(0.5), at(0.99), v[len(v)-1]))
+		rows = append(rows, fmt.Sprintf("| %s | %s | %d | %.4g | %.4g | %.4g |", s.Case, k, len(v), Quantile(v, 0.5), Quantile(v, 0.99), v[len(v)-1]))
 	}
 	for _, f := range s.Failed {
 		rows = append(rows, fmt.Sprintf("| %s | FAILED: %s | | | | |", s.Case, strings.ReplaceAll(f, "\n", "; ")))
--- a/internal/fleetlab/lab.go
+++ b/internal/fleetlab/lab.go
@@ -6,6 +6,7 @@
 package fleetlab
 
 import (
+	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -50,7 +51,6 @@
 	addr  map[string][2]string // bind and advertise
 	disc  *http.Server
 	draw  *rand.Rand
-	call  *http.Client
 
 	mu      sync.Mutex
 	lives   []*Life
@@ -80,8 +80,7 @@
 		return nil, err
 	}
 	l := &Lab{cfg: cfg, Board: board, addr: map[string][2]string{}, draw: rand.New(rand.NewPCG(cfg.Seed, 1)),
-		records: map[string]*Record{}, call: &http.Client{Timeout: 3 * time.Second,
-			Transport: &http.Transport{DisableKeepAlives: true}}}
+		records: map[string]*Record{}}
 	var all []string
 	for i := range cfg.N {
 		name := fmt.Sprintf("a%03d", i)
@@ -323,21 +322,18 @@
 
 // Status asks a process for its view and its changes after a number.
 func (l *Lab) Status(name string, since uint64) (*fleet.Status, error) {
-	resp, err := l.call.Get(fmt.Sprintf("http://%s/ops/fleet?members=none&since=%d", l.door(name, 8001), since))
+	ctx, cancel := context.WithTimeout(context.Background(), answerTime)
+	defer cancel()
+	s, err := fleet.Ask(ctx, l.door(name, 8001), fmt.Sprintf("members=none&since=%d", since))
 	if err != nil {
-		return nil, err
-	}
-	defer resp.Body.Close()
-	if resp.StatusCode != http.StatusOK {
-		return nil, fmt.Errorf("%s: %s", name, resp.Status)
-	}
-	s := new(fleet.Status)
-	if err := json.NewDecoder(resp.Body).Decode(s); err != nil {
-		return nil, err
+		return nil, fmt.Errorf("%s: %w", name, err)
 	}
 	return s, nil
 }
 
+// answerTime is how long a process may take to tell its view: the machine is full.
+const answerTime = 3 * time.Second
+
 // collect adds what processes saw since they were last asked to their records, and gives
 // their statuses; a process that does not answer has none.
 func (l *Lab) collect(names []string) map[string]*fleet.Status {
