Keep a start's first incarnation untold; gossip faster; play rounds with replay and drawn faults

Cause: memberlist tells the incarnation that a process begins with (1) beside its refutation, as its refute goes by address and not by name in the queue. One that had just started itself took the new process at incarnation 1, then the old one at a higher, and barred the new one as replaced. Ruled out: clocks gone back (incarnations were of the start) and exchanges that fail (9 to 11 were made). Change: the start is told once more by its name before anybody hears of it; a replaced process is barred for forget_ms only, so that a wrong bar heals; the checker finds a predecessor in place of its successor. Gossip goes to 4 members each 50 ms (3 each 125 ms): the rounds were what a start waits for. The harness replays packets late, draws schedules of faults from the seed, says how odd views differ, and plays rounds of all cases whose runs are kept as they end.

--- a/cmd/fernfleet/experiment.go
+++ b/cmd/fernfleet/experiment.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -28,7 +27,7 @@
 	Agents int           `toml:"agents"`
 	Seeds  int           `toml:"seeds"`
 	Seed   uint64        `toml:"seed"`
-	Runs   int           `toml:"runs"`  // of each case
+	Runs   int           `toml:"runs"`  // of each case, each on a fleet of its own seed
 	Cases  []string      `toml:"cases"` // empty: all
 	Costs  time.Duration `toml:"costs"` // how long traffic, CPU, memory and latency are measured
 
@@ -45,6 +44,8 @@
 	Forget    time.Duration `toml:"forget"`
 	Reclaim   time.Duration `toml:"reclaim"`
 	Reconnect time.Duration `toml:"reconnect"`
+
+	logs string // where the agents' logs stay; empty: nowhere
 }
 
 func msOf(d time.Duration) int { return int(d.Milliseconds()) }
@@ -83,11 +84,14 @@
 }
 
 func experimentCmd() *cobra.Command {
-	var path, record string
+	var path, record, logs string
 	cmd := &cobra.Command{Use: "experiment", Short: "run fleets of the real agent with faults and print what they took",
 		Long: `Runs the fleet view's hard cases on this machine, each as often as the plan says, judges
 every history, and prints a table: the median, 99th percentile and worst of each figure.
-The plan is a TOML file:
+All cases are played in turn, then all again on the next seed: a run that fails is named with
+its seed, from which its faults can be drawn again. With --record each run is kept as soon as
+it has ended, and "figures" prints the table of all runs of several records. The plan is a
+TOML file:
 
   binary = "bin/ringtrack"   the built agent
   agents = 24                processes; 300 take some 6 GB
@@ -104,60 +108,98 @@
 			if err != nil {
 				return err
 			}
+			p.logs = logs
 			return p.run(cmd.Context(), cmd.OutOrStdout(), record)
 		}}
 	cmd.Flags().StringVar(&path, "config", "experiment.toml", "the plan")
-	cmd.Flags().StringVar(&record, "record", "", "file for all figures of all runs, as JSON")
+	cmd.Flags().StringVar(&logs, "logs", "", "directory in which the agents' logs stay; default: none does")
+	cmd.Flags().StringVar(&record, "record", "", "file to which each run is added, a JSON object a line")
 	return cmd
 }
 
+// run plays the plan's rounds and prints what they gave.
 func (p plan) run(ctx context.Context, out io.Writer, record string) error {
 	if need := p.Agents * 20; need > freeMB() {
 		return fmt.Errorf("%d agents take some %d MB, and %d MB are free", p.Agents, need, freeMB())
 	}
 	commit, _ := exec.Command("git", "rev-parse", "--short", "HEAD").Output()
-	fmt.Fprintf(out, "%d agents, seed %d, commit %s, %d processors\n\n| case | figure | runs | median | p99 | worst |\n| --- | --- | --- | --- | --- | --- |\n",
-		p.Agents, p.Seed, bytesLine(commit), runtime.NumCPU())
-	var samples []*fleetlab.Sample
-	failed := 0
-	for _, c := range fleetlab.Cases {
-		if ctx.Err() != nil {
-			return errors.New("interrupted")
-		}
-		if p.Runs == 0 || len(p.Cases) > 0 && !slices.Contains(p.Cases, c.Name) {
-			continue
-		}
-		s := p.sample(ctx, c)
-		samples = append(samples, s)
-		failed += len(s.Failed)
-		for _, row := range s.Table() {
-			fmt.Fprintln(out, row)
-		}
-	}
-	if p.Costs > 0 {
-		s := p.costs()
-		samples = append(samples, s)
-		failed += len(s.Failed)
-		for _, row := range s.Table() {
-			fmt.Fprintln(out, row)
-		}
-	}
+	j := &fleetlab.Journal{Commit: bytesLine(commit), Agents: p.Agents, Processors: runtime.NumCPU()}
 	if record != "" {
-		text, err := json.Marshal(map[string]any{"commit": bytesLine(commit), "agents": p.Agents, "seed": p.Seed,
-			"processors": runtime.NumCPU(), "samples": samples})
-		if err == nil {
-			err = os.WriteFile(record, text, 0o644)
-		}
+		f, err := os.OpenFile(record, os.O_CREATE|os.O_WRONLY|os.O_APPEND, 0o644)
 		if err != nil {
 			return err
 		}
+		defer f.Close()
+		j.To = f
+	}
+	err := p.rounds(ctx, j)
+	if err == nil && p.Costs > 0 && ctx.Err() == nil {
+		err = p.costs(j)
+	}
+	if terr := j.Table(out); err == nil {
+		err = terr
 	}
-	if failed > 0 {
-		return fmt.Errorf("%d runs failed", failed)
+	if err == nil && ctx.Err() != nil {
+		err = errors.New("interrupted")
+	}
+	return err
+}
+
+// rounds plays the plan's cases in turn, each round on a fleet of the next seed; a run that
+// fails ends its fleet, and the round goes on with a new one.
+func (p plan) rounds(ctx context.Context, j *fleetlab.Journal) error {
+	for round := range p.Runs {
+		seed := p.Seed + uint64(round)
+		var l *fleetlab.Lab
+		var done func()
+		for _, c := range fleetlab.Cases {
+			if ctx.Err() != nil || len(p.Cases) > 0 && !slices.Contains(p.Cases, c.Name) {
+				continue
+			}
+			if l == nil {
+				var err error
+				if l, done, err = p.lab(seed, nil); err != nil {
+					return err
+				}
+			}
+			m, err := l.Play(c, p.scale())
+			if jerr := j.Add(c.Name, seed, m, err); jerr != nil {
+				done()
+				return jerr
+			}
+			if err != nil || c.Last {
+				done()
+				l = nil
+			}
+		}
+		if l != nil {
+			done()
+		}
 	}
 	return nil
 }
 
+// figuresCmd prints the table of records that were made at several times.
+func figuresCmd() *cobra.Command {
+	return &cobra.Command{Use: "figures FILE...", Short: "print the table of all runs of experiments' records",
+		Args: cobra.MinimumNArgs(1),
+		RunE: func(cmd *cobra.Command, files []string) error {
+			j := new(fleetlab.Journal)
+			for _, path := range files {
+				f, err := os.Open(path)
+				if err != nil {
+					return err
+				}
+				err = j.Read(f)
+				f.Close()
+				if err != nil {
+					return fmt.Errorf("%s: %w", path, err)
+				}
+			}
+			return j.Table(cmd.OutOrStdout())
+		}}
+}
+
 func bytesLine(b []byte) string { return string(b[:max(0, len(b)-1)]) }
 
 // freeMB is what this machine has of memory that is not in use, in MB (proc(5), meminfo).
@@ -174,10 +216,15 @@
 }
 
 func (p plan) lab(seed uint64, alone func(int) bool) (*fleetlab.Lab, func(), error) {
-	dir, err := os.MkdirTemp("", "fernfleet")
+	dir, err := os.MkdirTemp(p.logs, "fernfleet")
 	if err != nil {
 		return nil, nil, err
 	}
+	remove := func() {
+		if p.logs == "" {
+			os.RemoveAll(dir)
+		}
+	}
 	binary, err := filepath.Abs(p.Binary)
 	if err != nil {
 		return nil, nil, err
@@ -186,10 +233,10 @@
 		Fleet: fleet.Config{ProbeIntervalMs: msOf(p.Probe), SuspectTimeoutMs: msOf(p.Suspect), SettleMs: msOf(p.Settle),
 			ForgetMs: msOf(p.Forget), ReclaimMs: msOf(p.Reclaim), ReconnectMs: msOf(p.Reconnect)}})
 	if err != nil {
-		os.RemoveAll(dir)
+		remove()
 		return nil, nil, err
 	}
-	return l, func() { l.Close(); os.RemoveAll(dir) }, nil
+	return l, func() { l.Close(); remove() }, nil
 }
 
 func (p plan) scale() fleetlab.Scale {
@@ -197,58 +244,21 @@
 		Loss: p.Loss, Within: p.Within}
 }
 
-// sample plays a case as often as the plan says, on one fleet; a run that fails ends the
-// fleet, and the next begins with a new one.
-func (p plan) sample(ctx context.Context, c fleetlab.Case) *fleetlab.Sample {
-	s := &fleetlab.Sample{Case: c.Name}
-	var l *fleetlab.Lab
-	var done func()
-	for run := 0; run < p.Runs && ctx.Err() == nil; run++ {
-		if l == nil {
-			var err error
-			if l, done, err = p.lab(p.Seed+uint64(run), nil); err != nil {
-				s.Failed = append(s.Failed, err.Error())
-				return s
-			}
-		}
-		m, err := l.Play(c, p.scale())
-		if err != nil {
-			s.Failed = append(s.Failed, fmt.Sprintf("run %d: %v", run, err))
-		} else {
-			s.Runs = append(s.Runs, m)
-		}
-		if err != nil || c.Fresh {
-			done()
-			l = nil
-		}
-	}
-	if l != nil {
-		done()
-	}
-	return s
-}
-
 // costs measures what the view takes, beside two agents that have none.
-func (p plan) costs() *fleetlab.Sample {
-	s := &fleetlab.Sample{Case: "costs"}
+func (p plan) costs(j *fleetlab.Journal) error {
 	alone := func(i int) bool { return i >= p.Agents-2 }
 	l, done, err := p.lab(p.Seed, alone)
-	if err == nil {
-		defer done()
-		err = l.StartSettled(p.Within)
+	if err != nil {
+		return err
 	}
-	var m fleetlab.Measures
+	defer done()
+	m, err := fleetlab.Measures(nil), l.StartSettled(p.Within)
 	if err == nil {
 		m, err = l.Costs(p.Costs)
 	}
-	if err == nil {
-		s.Runs = append(s.Runs, m)
-		m, err = l.Latency(l.Names[p.Agents-3], l.Names[p.Agents-1], 100, p.Costs)
-	}
-	if err != nil {
-		s.Failed = append(s.Failed, err.Error())
-	} else {
-		s.Runs = append(s.Runs, m)
+	if jerr := j.Add("costs", p.Seed, m, err); err != nil || jerr != nil {
+		return jerr
 	}
-	return s
+	m, err = l.Latency(l.Names[p.Agents-3], l.Names[p.Agents-1], 100, p.Costs)
+	return j.Add("costs", p.Seed, m, err)
 }
--- a/cmd/fernfleet/main.go
+++ b/cmd/fernfleet/main.go
@@ -33,7 +33,7 @@
 func root() *cobra.Command {
 	cmd := &cobra.Command{Use: "fernfleet", Short: "the fleet view of the agents, and its experiments",
 		SilenceUsage: true, SilenceErrors: true}
-	cmd.AddCommand(viewCmd(), experimentCmd())
+	cmd.AddCommand(viewCmd(), experimentCmd(), figuresCmd())
 	return cmd
 }
 
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -194,7 +194,9 @@
 	c.ProbeInterval = ms(f.cfg.ProbeIntervalMs)
 	c.ProbeTimeout = c.ProbeInterval / 2
 	c.SuspicionMult, c.SuspicionMaxTimeoutMult = f.cfg.suspicionMult(), 2
-	c.GossipInterval, c.RetransmitMult = max(c.ProbeInterval/8, 20*time.Millisecond), 3
+	// What is told in a round costs nothing when there is nothing to tell, and after a heal or a
+	// start all members are: the rounds, not the processors, are what that waits for.
+	c.GossipInterval, c.GossipNodes, c.RetransmitMult = max(c.ProbeInterval/20, 20*time.Millisecond), 4, 3
 	c.GossipToTheDeadTime = ms(f.cfg.ForgetMs)
 	c.DeadNodeReclaimTime = ms(f.cfg.ReclaimMs)
 	c.HandoffQueueDepth = 4096
@@ -284,8 +286,7 @@
 		if v != nil {
 			if self, _ := v.Member(f.cfg.Name); low && self.Incarnation > f.base {
 				low = false
-				close(f.known)
-				close(f.tr.awake)
+				f.rise()
 			}
 			f.view.Store(v)
 			if f.cfg.OnView != nil {
@@ -296,6 +297,18 @@
 	}
 }
 
+// rise lets this process be heard of and hear, as it is above all earlier ones. Memberlist
+// keeps the word of its first incarnation, one, among what it has to tell, beside the
+// refutation; a word by the same name takes its place. (Told, it was taken by those who had
+// just started themselves, then an earlier process's word for a later one.)
+func (f *Fleet) rise() {
+	if err := f.list.Load().UpdateNode(time.Second); err != nil {
+		f.log.Warn("fleet: telling of the start", "err", err)
+	}
+	close(f.known)
+	close(f.tr.awake)
+}
+
 // snapshot reads memberlist's list and gives the new view, or nil if it did not change.
 func (f *Fleet) snapshot(now time.Time) *View {
 	f.tr.list = nil
@@ -415,7 +428,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, old := range f.table.retired[n.Name] {
-		if old == m.Process {
+		if old.process == m.Process && time.Since(old.at) < ms(f.cfg.ForgetMs) {
 			return errors.New("a process that was replaced")
 		}
 	}
--- a/internal/fleet/view.go
+++ b/internal/fleet/view.go
@@ -123,15 +123,21 @@
 	process string
 	view    *View
 	changes []Change
-	// retired are the processes that a name had before, the latest first, a few each:
-	// what comes late from one of them is not heard any more.
-	retired map[string][]string
+	// retired are the processes that a name had before, the latest first, a few each: what
+	// comes late from one of them is not heard for ForgetMs. (No longer: where a machine's
+	// clock went back, a name's earlier process can pass for the later one at first.)
+	retired map[string][]retired
+}
+
+type retired struct {
+	process string
+	at      time.Time
 }
 
 const keptRetired = 4
 
 func newTable(cfg *Config, process string, now time.Time) *table {
-	t := &table{cfg: cfg, process: process, retired: map[string][]string{}}
+	t := &table{cfg: cfg, process: process, retired: map[string][]retired{}}
 	t.view = t.make(nil, now)
 	return t
 }
@@ -187,7 +193,7 @@
 			m.since = old.since
 		}
 		if known && !same {
-			t.retire(m.Name, old.Process)
+			t.retire(m.Name, retired{old.Process, now})
 		}
 		next = append(next, m)
 		if !same || old.State != m.State || old.Draining != m.Draining || old.Incarnation != m.Incarnation {
@@ -231,11 +237,11 @@
 	return true
 }
 
-func (t *table) retire(name, process string) {
+func (t *table) retire(name string, old retired) {
 	if len(t.retired) > 4*t.cfg.maxMembers() {
 		clear(t.retired) // names that come and go for ever: what is late of them is refuted
 	}
-	t.retired[name] = append([]string{process}, t.retired[name]...)
+	t.retired[name] = append([]retired{old}, t.retired[name]...)
 	t.retired[name] = t.retired[name][:min(len(t.retired[name]), keptRetired)]
 }
 
--- a/internal/fleetlab/cases.go
+++ b/internal/fleetlab/cases.go
@@ -31,14 +31,14 @@
 // name begins with "start", which start the fleet.
 type Case struct {
 	Name string
-	// Fresh tells that a run leaves no whole fleet for another.
-	Fresh bool
-	Run   func(l *Lab, s Scale) (Measures, error)
+	// Last tells that a run leaves no whole fleet for another case.
+	Last bool
+	Run  func(l *Lab, s Scale) (Measures, error)
 }
 
 // Cases are the hard cases of the fleet view.
 var Cases = []Case{
-	{"start at once", true, startAtOnce},
+	{"start at once", false, startAtOnce},
 	{"start without seeds", false, startWithoutSeeds},
 	{"kill a tenth", false, killTenth},
 	{"restart at once", false, restartAtOnce},
@@ -55,6 +55,8 @@
 	{"strangers on the port", false, strangers},
 	{"crash of all", false, crashAll},
 	{"churn in a partition", false, churn},
+	{"replayed packets", false, replayed},
+	{"drawn faults", false, drawnFaults},
 	{"seeds gone for good", true, seedsGone},
 }
 
@@ -72,6 +74,7 @@
 		}
 	}
 	l.cfg.Log("%s: begins", c.Name)
+	defer l.Board.Clear() // also where the case ends in the middle
 	m, err := c.Run(l, s)
 	if err != nil {
 		return m, fmt.Errorf("%s: %w", c.Name, err)
@@ -103,6 +106,9 @@
 }
 
 func startAtOnce(l *Lab, s Scale) (Measures, error) {
+	if err := l.Kill(l.Live()...); err != nil {
+		return nil, err
+	}
 	began := time.Now()
 	if err := l.Start(l.Names...); err != nil {
 		return nil, err
@@ -159,7 +165,7 @@
 func restartAtOnce(l *Lab, s Scale) (Measures, error) {
 	some := l.Some(0.15)
 	began := time.Now()
-	if err := l.each(some, func(n string) error { return errors.Join(l.Kill(n), l.Start(n)) }); err != nil {
+	if err := l.restart(false, some...); err != nil {
 		return nil, err
 	}
 	return l.settled(nil, began, s)
@@ -282,7 +288,7 @@
 func rolling(l *Lab, s Scale) (Measures, error) {
 	live := l.Live()
 	for part := range slices.Chunk(live, max(1, len(live)/10)) {
-		if err := l.each(part, func(n string) error { return errors.Join(l.Term(n), l.Start(n)) }); err != nil {
+		if err := l.restart(true, part...); err != nil {
 			return nil, err
 		}
 	}
@@ -408,8 +414,7 @@
 	healed, err := l.partitioned(s, func() error {
 		for end := time.Now().Add(s.Long); time.Now().Before(end); {
 			for _, side := range [][]string{a, b} {
-				n := side[l.draw.IntN(len(side))]
-				if err := errors.Join(l.Kill(n), l.Start(n)); err != nil {
+				if err := l.restart(false, side[l.draw.IntN(len(side))]); err != nil {
 					return err
 				}
 			}
@@ -423,6 +428,78 @@
 	return l.settled(nil, healed, s)
 }
 
+// restart ends processes, orderly or not, and starts them again.
+func (l *Lab) restart(orderly bool, names ...string) error {
+	end := func(n string) error { return l.Kill(n) }
+	if orderly {
+		end = func(n string) error { return l.Term(n) }
+	}
+	return l.each(names, func(n string) error { return errors.Join(end(n), l.Start(n)) })
+}
+
+// replayed lets a part of all packets come once more, up to a time later, while processes
+// are killed, leave and start again: what was said by or of those that were replaced comes
+// to their successors and to all others.
+func replayed(l *Lab, s Scale) (Measures, error) {
+	l.Board.SetAll(switchboard.Rule{Replay: 0.3, ReplayIn: s.Faulty})
+	for i := range 4 {
+		if err := l.restart(i%2 == 1, l.Some(0.1)...); err != nil {
+			return nil, err
+		}
+		time.Sleep(s.Faulty / 4)
+	}
+	m, err := l.settled(nil, time.Now(), s) // while old packets still come
+	if err != nil {
+		return m, err
+	}
+	time.Sleep(s.Faulty)
+	l.Board.Clear()
+	_, err = l.Settle(time.Now(), s.Within)
+	return m, err
+}
+
+// drawnFaults puts a schedule to the fleet that is drawn from the lab's seed: in each step
+// bad links for all, a partition in one of two, and meanwhile processes that are killed,
+// leave, stand still or starve.
+func drawnFaults(l *Lab, s Scale) (Measures, error) {
+	var healed time.Time
+	for step := range 4 {
+		r := switchboard.Rule{Loss: 0.05 * l.draw.Float64(), Jitter: time.Duration(l.draw.IntN(10)) * time.Millisecond,
+			Duplicate: 0.1 * l.draw.Float64(), Reorder: 0.1 * l.draw.Float64(), Replay: 0.1 * l.draw.Float64(), ReplayIn: s.Cut}
+		some, what := l.Some(0.02+0.13*l.draw.Float64()), l.draw.IntN(5)
+		act := func() error {
+			switch what {
+			case 0:
+				return l.restart(false, some...)
+			case 1:
+				return l.restart(true, some...)
+			case 2:
+				return l.Pause(s.Pause, some...)
+			case 3:
+				return l.Starve(s.Cut, some...)
+			}
+			time.Sleep(s.Cut)
+			return nil
+		}
+		var groups [][]string
+		if l.draw.IntN(2) == 0 {
+			live := l.Live()
+			l.draw.Shuffle(len(live), func(i, j int) { live[i], live[j] = live[j], live[i] })
+			for part := range slices.Chunk(live, len(live)/(2+l.draw.IntN(2))+1) {
+				groups = append(groups, part)
+			}
+		}
+		l.cfg.Log("drawn step %d: %d of what %d, %d groups, %+v", step, len(some), what, len(groups), r)
+		l.Board.SetAll(r)
+		var err error
+		if healed, err = l.partitioned(s, act, groups...); err != nil {
+			return nil, err
+		}
+	}
+	l.Board.Clear()
+	return l.settled(nil, healed, s)
+}
+
 // seedsGone kills every seed for good; the others go on, and one that starts again without
 // any seed is found by them.
 func seedsGone(l *Lab, s Scale) (Measures, error) {
--- a/internal/fleetlab/check.go
+++ b/internal/fleetlab/check.go
@@ -60,8 +60,8 @@
 
 // Violation is a rule that a history breaks. The rules: "false death" (a running process,
 // not excused, is declared dead), "incarnation" (one goes back), "number" (a view's number
-// does not go up by one), "return" (a process that was replaced is back), "leaver" (one
-// that left is doubted, dead or back).
+// does not go up by one), "return" (a process that was replaced is back, or one takes the
+// place of its successor), "leaver" (one that left is doubted, dead or back).
 type Violation struct {
 	Rule, Observer string
 	Change         fleet.Change
@@ -95,7 +95,7 @@
 			if known && old.Process != c.Process {
 				replaced[old.Process] = true
 			}
-			if replaced[c.Process] {
+			if replaced[c.Process] || known && before(byProcess[c.Process], byProcess[old.Process]) {
 				broken("return")
 			}
 			if known && old.Process == c.Process {
@@ -115,6 +115,11 @@
 	return found
 }
 
+// before tells whether a process is known to have ended before another began.
+func before(a, b *Life) bool {
+	return a != nil && b != nil && !a.End.IsZero() && a.End.Before(b.Start)
+}
+
 func falseDeath(life *Life, observer string, c fleet.Change, excuses []Excuse) bool {
 	at := time.UnixMicro(c.UnixUs)
 	if life == nil || !life.End.IsZero() && at.After(life.End) {
--- a/internal/fleetlab/check_test.go
+++ b/internal/fleetlab/check_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -42,12 +43,15 @@
 		"number":      func(c []fleet.Change) { c[7].Number = 9 },
 		"incarnation": func(c []fleet.Change) { c[3].Incarnation = 2 },
 		"return":      func(c []fleet.Change) { c[7].Name, c[7].Process, c[7].To = "b", "b1", fleet.Suspect },
+		"return " /* of the earlier in place of the later */ : func(c []fleet.Change) {
+			c[0].Process, c[6].Process = "b2", "b1"
+		},
 		"leaver":      func(c []fleet.Change) { c[5].Name, c[5].Process, c[5].To = "d", "d1", fleet.Suspect },
 		"false death": func(c []fleet.Change) { c[5].UnixUs = at(4) },
 	} {
 		c := kept()
 		seed(c)
-		if got := check(c, cut); !slices.Contains(got, rule) {
+		if got := check(c, cut); !slices.Contains(got, strings.TrimSpace(rule)) {
 			t.Errorf("the bug seeded for %q was found as %v", rule, got)
 		}
 	}
--- a/internal/fleetlab/costs.go
+++ b/internal/fleetlab/costs.go
@@ -8,7 +8,6 @@
 	"net"
 	"net/http"
 	"os"
-	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -167,34 +166,3 @@
 	}
 	return h, nil
 }
-
-// Sample is what a case gave over several runs.
-type Sample struct {
-	Case   string
-	Runs   []Measures
-	Failed []string // what went wrong, a line a run
-}
-
-// Table gives, for each figure of a sample, its median, 99th percentile and worst.
-func (s *Sample) Table() (rows []string) {
-	figures := map[string][]float64{}
-	for _, m := range s.Runs {
-		for k, v := range m {
-			figures[k] = append(figures[k], v)
-		}
-	}
-	names := make([]string, 0, len(figures))
-	for k := range figures {
-		names = append(names, k)
-	}
-	slices.Sort(names)
-	for _, k := range names {
-		v := figures[k]
-		slices.Sort(v)
-		rows = append(rows, fmt.Sprintf("| %s | %s | %d | %.4g | %.4g | %.4g |", s.Case, k, len(v), Quantile(v, 0.5), Quantile(v, 0.99), v[len(v)-1]))
-	}
-	for _, f := range s.Failed {
-		rows = append(rows, fmt.Sprintf("| %s | FAILED: %s | | | | |", s.Case, strings.ReplaceAll(f, "\n", "; ")))
-	}
-	return rows
-}
--- a/internal/fleetlab/lab.go
+++ b/internal/fleetlab/lab.go
@@ -11,6 +11,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -18,6 +19,7 @@
 	"path/filepath"
 	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -385,7 +387,7 @@
 		return apart == ""
 	})
 	if err != nil {
-		return 0, fmt.Errorf("%w: %s", err, apart)
+		return 0, fmt.Errorf("%w: %s%s", err, apart, l.differences(last))
 	}
 	var settled time.Time
 	l.mu.Lock()
@@ -398,18 +400,58 @@
 	return max(0, settled.Sub(since)), nil
 }
 
+// present are those that take part among processes that answered, by their own word.
+func present(got map[string]*fleet.Status, live []string) (there []fleet.Member) {
+	for _, n := range live {
+		if s := got[n]; s != nil && s.Member {
+			there = append(there, fleet.Member{Name: s.Self, Process: s.Process, State: fleet.Alive})
+		}
+	}
+	return there
+}
+
+// differences says, for a few views that are not the fleet as it is, which members they
+// have otherwise, and what their processes counted.
+func (l *Lab) differences(got map[string]*fleet.Status) string {
+	var b strings.Builder
+	there := present(got, slices.Sorted(maps.Keys(got)))
+	digest, told := fleet.DigestOf(there), 0
+	for _, n := range slices.Sorted(maps.Keys(got)) {
+		if s := got[n]; !s.Member || s.Digest == digest && s.Suspects == 0 || told >= 3 {
+			continue
+		}
+		told++
+		ctx, cancel := context.WithTimeout(context.Background(), answerTime)
+		s, err := fleet.Ask(ctx, l.door(n, 8001), "since=4611686018427387904")
+		cancel()
+		if err != nil {
+			continue
+		}
+		fmt.Fprintf(&b, "\n%s, unchanged for %d ms, counts %v:", n, s.UnchangedMs, s.Traffic)
+		for _, m := range there {
+			if seen, ok := s.View.Member(m.Name); !ok || seen.Process != m.Process || seen.State != fleet.Alive {
+				fmt.Fprintf(&b, " %s/%s seen as %q %s incarnation %d after", m.Name, m.Process, seen.State, seen.Process, seen.Incarnation)
+				l.mu.Lock()
+				for _, c := range l.records[s.Process].Changes {
+					if c.Name == m.Name {
+						fmt.Fprintf(&b, " %d: %s %q %d,", c.Number, c.Process, c.To, c.Incarnation)
+					}
+				}
+				l.mu.Unlock()
+			}
+		}
+	}
+	return b.String()
+}
+
 // Apart says where views differ from each other or from who is there; empty: they agree.
 func Apart(got map[string]*fleet.Status, live []string) string {
-	var there []fleet.Member
 	for _, n := range live {
-		s := got[n]
-		if s == nil {
+		if got[n] == nil {
 			return n + " does not answer"
 		}
-		if s.Member {
-			there = append(there, fleet.Member{Name: s.Self, Process: s.Process, State: fleet.Alive})
-		}
 	}
+	there := present(got, live)
 	digest := fleet.DigestOf(there)
 	apart := 0
 	first := ""
--- a/internal/switchboard/switchboard.go
+++ b/internal/switchboard/switchboard.go
@@ -1,5 +1,5 @@
 // Package switchboard relays UDP and TCP between processes on one machine, with a rule for
-// each ordered pair: pass, cut, delay with jitter, loss, duplication, reordering. Every
+// each ordered pair: pass, cut, delay with jitter, loss, duplication, reordering, replay. Every
 // process has a loopback address of its own, by which the board knows the sender, and is
 // told of under the address of its relay. A cut is silent, as one in a network is: packets
 // vanish, connections that are open stay open and bring nothing, new ones never answer;
@@ -32,6 +32,8 @@
 	Loss      float64
 	Duplicate float64
 	Reorder   float64 // held back behind those that come within reorderBy
+	Replay    float64 // of packets: comes once more, drawn evenly from 0 to ReplayIn later
+	ReplayIn  time.Duration
 }
 
 const (
@@ -202,8 +204,8 @@
 
 // fate is what becomes of one packet or chunk.
 type fate struct {
-	cut, lost, twice, behind bool
-	after                    time.Duration
+	cut, lost, twice, behind, again bool
+	after, replay                   time.Duration
 }
 
 func (b *Board) fate(from, to string) fate {
@@ -224,10 +226,11 @@
 		draw = rand.New(rand.NewPCG(b.seed, h.Sum64()))
 		b.draws[pair] = draw
 	}
-	// All four are drawn for each packet, so that one share does not move the others.
+	// All are drawn for each packet, so that one share does not move the others.
 	lost, twice, behind, jitter := draw.Float64(), draw.Float64(), draw.Float64(), draw.Float64()
-	f := fate{lost: lost < r.Loss, twice: twice < r.Duplicate, behind: behind < r.Reorder,
-		after: r.Delay + time.Duration(jitter*float64(r.Jitter))}
+	again, late := draw.Float64(), draw.Float64()
+	f := fate{lost: lost < r.Loss, twice: twice < r.Duplicate, behind: behind < r.Reorder, again: again < r.Replay,
+		after: r.Delay + time.Duration(jitter*float64(r.Jitter)), replay: time.Duration(late * float64(r.ReplayIn))}
 	if f.behind {
 		f.after += reorderBy
 	}
@@ -265,22 +268,25 @@
 			b.lost.Add(1)
 			continue
 		}
-		times := 1
-		if f.twice {
-			times = 2
-		}
-		if f.after == 0 {
-			for range times {
-				to.udp.WriteToUDPAddrPort(buf[:n], to.real)
-			}
+		if f == (fate{}) {
+			to.udp.WriteToUDPAddrPort(buf[:n], to.real)
 			continue
 		}
 		p := append([]byte(nil), buf[:n]...)
-		time.AfterFunc(f.after, func() {
-			for range times {
+		bring := func(after time.Duration) {
+			if after == 0 {
 				to.udp.WriteToUDPAddrPort(p, to.real)
+			} else {
+				time.AfterFunc(after, func() { to.udp.WriteToUDPAddrPort(p, to.real) })
 			}
-		})
+		}
+		bring(f.after)
+		if f.twice {
+			bring(f.after)
+		}
+		if f.again {
+			bring(f.after + f.replay)
+		}
 	}
 }
 
--- a/internal/switchboard/switchboard_test.go
+++ b/internal/switchboard/switchboard_test.go
@@ -79,7 +79,7 @@
 		x, y := start(t, b, "x"), start(t, b, "y")
 		defer x.close()
 		defer y.close()
-		b.Set("x", "y", Rule{Loss: 0.3, Duplicate: 0.2})
+		b.Set("x", "y", Rule{Loss: 0.3, Duplicate: 0.1, Replay: 0.1})
 		b.Set("y", "x", Rule{Cut: true})
 		for i := range 200 {
 			x.send(y, fmt.Sprint(i))
@@ -105,7 +105,7 @@
 	}
 	once := slices.Compact(slices.Clone(first))
 	if lost, twice := 200-len(once), len(first)-len(once); lost < 30 || lost > 90 || twice < 10 || twice > 60 {
-		t.Errorf("%d of 200 lost and %d doubled, with shares of 0.3 and 0.2", lost, twice)
+		t.Errorf("%d of 200 lost and %d once more, with shares of 0.3 and 0.2", lost, twice)
 	}
 }
 
