Believe a death only of members surely there; exchange lists also while views change

Symptom: after 25 s of 120/180 apart at 300, 326 pairs of one side saw each other dead for a moment; 483 with kills and starts meanwhile (the checker's false death). Churned processes sat alone for 15 s. Cause: memberlist takes a gossiped death at once, whoever says it, so what one side declared in the last seconds of the cut, and what its suspicions declare after it, kills on the other; and a view that grows one by one never rests for the 3 s after which lists are exchanged. Ruled out: refused calls (declared_gone 0 at the observers) and own time-outs (the deaths now name who said so, 'by'). Change: the guard turns the word of one that is not surely there, or that came back from the dead less than the longest suspicion ago, into a suspicion, which the accused refutes; lists are exchanged also each 6 s while digests differ, and with the first member that one without seeds hears of; gossip to 6.

--- a/internal/fleet/config.go
+++ b/internal/fleet/config.go
@@ -139,6 +139,15 @@
 	return int(math.Ceil(float64(c.SuspectTimeoutMs) / float64(c.ProbeIntervalMs)))
 }
 
+// suspicionMax is by how much longer a suspicion lasts that nobody else shares.
+const suspicionMax = 2
+
+// longestSuspicion is how long a suspicion lasts at the most in a fleet of so many members.
+func (c *Config) longestSuspicion(members int) time.Duration {
+	scale := math.Max(1, math.Log10(math.Max(1, float64(members))))
+	return time.Duration(suspicionMax * scale * float64(ms(c.SuspectTimeoutMs)))
+}
+
 // maxMembers bounds the members that are known: a forged flood of names ends there.
 func (c *Config) maxMembers() int { return max(2*c.Size, 64) }
 
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -3,7 +3,7 @@
 // it is SWIM with Lifeguard's extensions (hashicorp/memberlist), and what that leaves out.
 //
 // Its invariants, which internal/fleetlab checks over the histories of many processes:
-// a process that runs and can be reached by somebody is never declared dead; an identity
+// a process that runs is never declared dead by one that was not cut off from it; an identity
 // that was replaced never returns; a leaver is neither doubted nor sought; incarnations and
 // view numbers never go back; and once faults have ended all live processes come to the
 // same digest, however long they were apart.
@@ -12,7 +12,8 @@
 // push/pull with nobody), so that a view carries suspicion and incarnations; two sides that
 // declared each other dead find each other again; members compare digests in the answers
 // to probes and exchange their lists where these stay different; an address that refuses
-// calls shows at once that its process is gone; and packets and streams are checked before
+// calls shows at once that its process is gone; that another is dead is believed only of
+// members that are surely there themselves; and packets and streams are checked before
 // memberlist, which trusts lengths that it is told, reads them.
 package fleet
 
@@ -76,7 +77,9 @@
 	names    map[string]bool // admitted since the last snapshot, and its names
 	differ   string          // a member whose digest was another, name/address
 	differed time.Time       // when one last was
-	leaving  bool
+	// exchanged is when lists were last exchanged with somebody; zero: never.
+	exchanged time.Time
+	leaving   bool
 
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -147,7 +150,7 @@
 
 // bind opens the sockets and begins to take part.
 func (f *Fleet) bind() error {
-	tr, err := newTransport(&f.cfg, f.log.std(), &f.count, f.tell)
+	tr, err := newTransport(&f.cfg, f.log.std(), &f.count, f.tell, f.wordCounts)
 	if err != nil {
 		return err
 	}
@@ -193,10 +196,10 @@
 	c.TCPTimeout = streamTime
 	c.ProbeInterval = ms(f.cfg.ProbeIntervalMs)
 	c.ProbeTimeout = c.ProbeInterval / 2
-	c.SuspicionMult, c.SuspicionMaxTimeoutMult = f.cfg.suspicionMult(), 2
+	c.SuspicionMult, c.SuspicionMaxTimeoutMult = f.cfg.suspicionMult(), suspicionMax
 	// What is told in a round costs nothing when there is nothing to tell, and after a heal or a
 	// start all members are: the rounds, not the processors, are what that waits for.
-	c.GossipInterval, c.GossipNodes, c.RetransmitMult = max(c.ProbeInterval/20, 20*time.Millisecond), 4, 3
+	c.GossipInterval, c.GossipNodes, c.RetransmitMult = max(c.ProbeInterval/20, 20*time.Millisecond), 6, 3
 	c.GossipToTheDeadTime = ms(f.cfg.ForgetMs)
 	c.DeadNodeReclaimTime = ms(f.cfg.ReclaimMs)
 	c.HandoffQueueDepth = 4096
@@ -205,6 +208,24 @@
 	return c
 }
 
+// wordCounts tells whether a member's word that another is dead counts here: it does while the
+// member itself is surely there, as in a Conclusion, and, where it came back from the dead, once
+// the suspicions have run out that it may have begun on the other side of a cut. Any other's
+// word makes a suspicion, which the accused hears of and refutes.
+func (f *Fleet) wordCounts(accuser, accused string) bool {
+	v, now := f.view.Load(), time.Now()
+	m, ok := v.Member(accuser)
+	if !ok || accuser != f.cfg.Name && (!m.surely(now, ms(f.cfg.SettleMs)) || !m.back.IsZero() && now.Sub(m.back) < f.cfg.longestSuspicion(len(v.Members))) {
+		return false
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.names[accused] { // what is said of nobody is not kept
+		f.table.accusers[accused] = accuser
+	}
+	return true
+}
+
 // tell says that the list may have changed; it never waits.
 func (f *Fleet) tell() {
 	select {
@@ -388,7 +409,7 @@
 		"packets_out": n.packetsOut.Load(), "bytes_out": n.bytesOut.Load(), "streams": n.streams.Load(),
 		"stream_bytes_in": n.streamBytesIn.Load(), "stream_bytes_out": n.streamBytesOut.Load(),
 		"bad_packets": n.badPackets.Load(), "bad_streams": n.badStreams.Load(), "foreign": n.foreign.Load(),
-		"rejected": n.rejected.Load(), "reconnects": f.heals.Load(), "syncs": f.syncs.Load(),
+		"rejected": n.rejected.Load(), "hearsay": n.hearsay.Load(), "reconnects": f.heals.Load(), "syncs": f.syncs.Load(),
 		"declared_gone": f.lost.Load(), "stalls": f.stalls.Load(), "unlogged": f.log.left.Load()}
 	return s
 }
@@ -457,18 +478,20 @@
 	if len(payload) != 8 {
 		return
 	}
-	v := f.view.Load()
-	if binary.BigEndian.Uint64(payload) == v.digest || time.Since(v.agreed) < f.differFor() {
+	v, now := f.view.Load(), time.Now()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if binary.BigEndian.Uint64(payload) == v.digest || now.Sub(v.agreed) < f.differFor() && now.Sub(f.exchanged) < 2*f.differFor() {
 		return
 	}
-	f.mu.Lock()
 	f.differ = n.Name + "/" + n.Address()
-	f.differed = time.Now()
-	f.mu.Unlock()
+	f.differed = now
 }
 
 // differFor is how long the digest is unchanged before another is looked into: some rounds
 // of the gossip. (Doubts that come and go do not count: in a large fleet some always do.)
+// Where it never rests, as one member after the other is heard of, it is twice as long since
+// the last exchange of lists.
 func (f *Fleet) differFor() time.Duration { return 3 * ms(f.cfg.ProbeIntervalMs) }
 
 // NotifyMsg, GetBroadcasts, LocalState and MergeRemoteState carry nothing yet.
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -1,7 +1,9 @@
 package fleet
 
 import (
+	"encoding/binary"
 	"encoding/json"
+	"hash/crc32"
 	"math/rand/v2"
 	"strings"
 	"testing"
@@ -118,10 +120,20 @@
 	}
 	for name, b := range map[string][]byte{"compressed within": {msgCompound, 1, 0, 2, msgCompress, 1}, "nested": nested,
 		"cut off": {msgCompound, 9, 0}, "unknown": {99}} {
-		if _, err := checkPacket(b, 0); err == nil {
+		if checkPacket(b, 0, func([]byte) {}) == nil {
 			t.Errorf("packet %s: accepted", name)
 		}
 	}
+	// A death is believed of those whose word counts and of the member itself.
+	for _, from := range []string{"sure", "unsure", "b"} {
+		inner := append([]byte{msgCompound, 1, 0, 0}, encodeMessage(msgDead, deadMessage{Incarnation: 3, Node: "b", From: from})...)
+		inner[3] = byte(len(inner) - 4)
+		b := append(binary.BigEndian.AppendUint32([]byte{msgCRC}, crc32.ChecksumIEEE(inner)), inner...)
+		err := checkPacket(b, 0, func(m []byte) { hearsay(m, func(who, _ string) bool { return who == "sure" }) })
+		if again := checkPacket(b, 0, func([]byte) {}); err != nil || again != nil || (b[9] == msgSuspect) != (from == "unsure") {
+			t.Errorf("the word of %q makes a message of type %d (%v, %v)", from, b[9], err, again)
+		}
+	}
 	draw := rand.New(rand.NewPCG(1, 1))
 	honest := message(pushPullHeader{Nodes: 2}, node, node)
 	for range 20_000 { // no form of it may panic
--- a/internal/fleet/heal.go
+++ b/internal/fleet/heal.go
@@ -29,6 +29,7 @@
 		case <-f.ctx.Done():
 			return
 		case <-look.C:
+			f.greet()
 			f.sync()
 			if n := len(f.missing()); n > missing {
 				// Someone else is gone: what was tried in vain before says nothing of it.
@@ -82,8 +83,36 @@
 		return false
 	}
 	f.heals.Add(1)
-	n, _ := f.list.Load().Join([]string{addrs[rand.IntN(len(addrs))]})
-	return n > 0
+	return f.join(addrs[rand.IntN(len(addrs))]) == nil
+}
+
+// join exchanges lists with whoever is at an address, which may have a name before it.
+func (f *Fleet) join(addr string) error {
+	_, err := f.list.Load().Join([]string{addr})
+	if err == nil {
+		f.mu.Lock()
+		f.exchanged = time.Now()
+		f.mu.Unlock()
+	}
+	return err
+}
+
+// greet exchanges lists with the first member that this process hears of where it has not yet
+// with any: its seeds may be on the other side of a cut, and those that find it one by one
+// tell it of themselves alone.
+func (f *Fleet) greet() {
+	f.mu.Lock()
+	met := !f.exchanged.IsZero()
+	f.mu.Unlock()
+	if met {
+		return
+	}
+	for _, m := range f.view.Load().Members {
+		if m.State == Alive && m.Name != f.cfg.Name {
+			f.exchange(m.Name + "/" + m.Addr)
+			return
+		}
+	}
 }
 
 // syncOneIn is in how many probe intervals an agent whose digest differs exchanges lists once.
@@ -105,7 +134,7 @@
 // exchange gives a member, name/address, this process's list and takes its own.
 func (f *Fleet) exchange(peer string) {
 	f.syncs.Add(1)
-	if _, err := f.list.Load().Join([]string{peer}); err != nil {
+	if err := f.join(peer); err != nil {
 		f.log.Info("fleet: exchange of lists failed", "peer", peer, "err", err)
 	}
 }
--- a/internal/fleet/transport.go
+++ b/internal/fleet/transport.go
@@ -44,6 +44,7 @@
 	packetsIn, bytesIn, packetsOut, bytesOut  atomic.Uint64
 	streams, streamBytesIn, streamBytesOut    atomic.Uint64
 	badPackets, badStreams, foreign, rejected atomic.Uint64
+	hearsay                                   atomic.Uint64
 }
 
 // transport is the network under memberlist, with a guard: packets and stream messages that
@@ -67,6 +68,8 @@
 	end      context.CancelFunc
 	// told is called when a packet came or went that says something of a member's state.
 	told func()
+	// counts tells whether this process takes a member's word that another is dead.
+	counts func(accuser, accused string) bool
 	// awake is closed once this process may be heard: nothing is taken before.
 	awake chan struct{}
 	// list is what memberlist last told viewPeer; only the goroutine that asks uses it.
@@ -77,14 +80,14 @@
 // still finds what was said meanwhile.
 const receiveBuffer = 2 << 20
 
-func newTransport(cfg *Config, logger *log.Logger, count *traffic, told func()) (*transport, error) {
+func newTransport(cfg *Config, logger *log.Logger, count *traffic, told func(), counts func(accuser, accused string) bool) (*transport, error) {
 	addr, err := net.ResolveTCPAddr("tcp", cfg.Bind)
 	if err != nil {
 		return nil, err
 	}
 	t := &transport{cfg: cfg, local: addr.IP, nets: cfg.networks(), logger: logger, count: count,
 		packets: make(chan *memberlist.Packet), streams: make(chan net.Conn), slots: make(chan struct{}, maxStreams),
-		watchers: make(chan struct{}, maxWatchers), awake: make(chan struct{}), told: told}
+		watchers: make(chan struct{}, maxWatchers), awake: make(chan struct{}), told: told, counts: counts}
 	if t.tcp, err = net.ListenTCP("tcp", addr); err != nil {
 		return nil, err
 	}
@@ -156,7 +159,12 @@
 	}
 	tells := false
 	if err == nil {
-		tells, err = checkPacket(b, 0)
+		err = checkPacket(b, 0, func(message []byte) {
+			tells = tells || tellsState(message)
+			if hearsay(message, t.counts) {
+				t.count.hearsay.Add(1)
+			}
+		})
 	}
 	if err != nil {
 		t.count.badPackets.Add(1)
@@ -289,7 +297,8 @@
 	t.count.packetsOut.Add(1)
 	t.count.bytesOut.Add(uint64(len(b)))
 	if msg, _, err := memberlist.RemoveLabelHeaderFromPacket(b); err == nil {
-		if tells, err := checkPacket(msg, 0); err == nil && tells {
+		tells := false
+		if checkPacket(msg, 0, func(message []byte) { tells = tells || tellsState(message) }); tells {
 			t.told()
 		}
 	}
--- a/internal/fleet/view.go
+++ b/internal/fleet/view.go
@@ -37,6 +37,12 @@
 	Addr        string `json:"addr"`
 
 	since time.Time // of State and Process, on this process's clock
+	back  time.Time // when this process, or its predecessor as it, came back from the dead; zero: never
+}
+
+// surely tells whether a member has been alive without a doubt for the settle time.
+func (m *Member) surely(now time.Time, settle time.Duration) bool {
+	return m.State == Alive && now.Sub(m.since) >= settle
 }
 
 // View is what one process knows of its fleet. It is never changed once it is made.
@@ -81,7 +87,7 @@
 	c := Conclusion{AtMost: max(v.Size, v.Present), Settled: now.Sub(v.changed) >= v.settle}
 	for i := range v.Members {
 		m := &v.Members[i]
-		if m.Name == v.Self || m.State == Alive && now.Sub(m.since) >= v.settle {
+		if m.Name == v.Self || m.surely(now, v.settle) {
 			c.AtLeast++
 		}
 	}
@@ -111,6 +117,8 @@
 	Incarnation uint32 `json:"incarnation"`
 	Digest      string `json:"digest"` // of the view that it led to
 	Draining    bool   `json:"draining,omitempty"`
+	// By is, where To is dead, who said so; empty: this process itself, or nobody.
+	By string `json:"by,omitempty"`
 }
 
 // keptChanges is how many changes a process remembers for GET /ops/fleet.
@@ -127,6 +135,8 @@
 	// comes late from one of them is not heard for ForgetMs. (No longer: where a machine's
 	// clock went back, a name's earlier process can pass for the later one at first.)
 	retired map[string][]retired
+	// accusers are who last said of a member that it is dead, until it is alive or gone.
+	accusers map[string]string
 }
 
 type retired struct {
@@ -137,7 +147,7 @@
 const keptRetired = 4
 
 func newTable(cfg *Config, process string, now time.Time) *table {
-	t := &table{cfg: cfg, process: process, retired: map[string][]retired{}}
+	t := &table{cfg: cfg, process: process, retired: map[string][]retired{}, accusers: map[string]string{}}
 	t.view = t.make(nil, now)
 	return t
 }
@@ -189,18 +199,30 @@
 		seen[m.Name] = true
 		m.since = now
 		same := known && old.Process == m.Process
+		if same {
+			m.back = old.back
+		}
 		if same && old.State == m.State {
 			m.since = old.since
 		}
+		if known && old.State == Dead && m.State.present() {
+			m.back = now
+		}
 		if known && !same {
 			t.retire(m.Name, retired{old.Process, now})
 		}
 		next = append(next, m)
+		if m.State == Alive {
+			delete(t.accusers, m.Name)
+		}
 		if !same || old.State != m.State || old.Draining != m.Draining || old.Incarnation != m.Incarnation {
 			c := Change{Name: m.Name, Process: m.Process, To: m.State, Incarnation: m.Incarnation, Draining: m.Draining}
 			if same {
 				c.From = old.State
 			}
+			if m.State == Dead {
+				c.By = t.accusers[m.Name]
+			}
 			changes = append(changes, c)
 		}
 	}
@@ -215,6 +237,7 @@
 			}
 			next = append(next, m)
 		default:
+			delete(t.accusers, m.Name)
 			changes = append(changes, Change{Name: m.Name, Process: m.Process, From: m.State, Incarnation: m.Incarnation})
 		}
 	}
--- a/internal/fleet/wire.go
+++ b/internal/fleet/wire.go
@@ -4,6 +4,7 @@
 	"encoding/binary"
 	"errors"
 	"fmt"
+	"hash/crc32"
 
 	"github.com/hashicorp/go-msgpack/v2/codec"
 	"github.com/hashicorp/memberlist"
@@ -67,51 +68,76 @@
 }
 
 // checkPacket tells why a packet, its label taken off, is none that a member sends; nil:
-// it may go to memberlist. tells is whether it says something of a member's state.
-// Compressed and encrypted messages are refused: ours never are, and a small one can
-// unpack to any size.
-func checkPacket(b []byte, depth int) (tells bool, err error) {
+// it may go to memberlist. Each of its messages is given to each, which may change its bytes
+// in their place (not their number); checksums then follow. Compressed and encrypted messages
+// are refused: ours never are, and a small one can unpack to any size.
+func checkPacket(b []byte, depth int, each func(message []byte)) error {
 	if len(b) == 0 {
-		return false, errors.New("empty message")
+		return errors.New("empty message")
 	}
 	switch b[0] {
-	case msgPing, msgIndirectPing, msgAck, msgNack, msgUser:
-		return false, nil
-	case msgSuspect, msgAlive, msgDead:
-		return true, nil
+	case msgPing, msgIndirectPing, msgAck, msgNack, msgUser, msgSuspect, msgAlive, msgDead:
+		each(b)
+		return nil
 	case msgCRC:
 		if len(b) <= 5 || depth > 0 {
-			return false, errors.New("checksum of nothing")
+			return errors.New("checksum of nothing")
+		}
+		if binary.BigEndian.Uint32(b[1:5]) != crc32.ChecksumIEEE(b[5:]) {
+			return errors.New("checksum of something else")
 		}
-		return checkPacket(b[5:], depth+1)
+		err := checkPacket(b[5:], depth+1, each)
+		binary.BigEndian.PutUint32(b[1:5], crc32.ChecksumIEEE(b[5:]))
+		return err
 	case msgCompound:
 		if depth > 1 {
-			return false, errNested
+			return errNested
 		}
-		return checkCompound(b[1:], depth)
+		return checkCompound(b[1:], depth, each)
 	}
-	return false, fmt.Errorf("message of type %d", b[0])
+	return fmt.Errorf("message of type %d", b[0])
 }
 
 // checkCompound checks the parts of a compound message: their number in a byte, the length
 // of each in two, then the parts.
-func checkCompound(b []byte, depth int) (tells bool, err error) {
+func checkCompound(b []byte, depth int, each func([]byte)) error {
 	if len(b) < 1 || len(b) < 1+2*int(b[0]) {
-		return false, errors.New("compound message cut off")
+		return errors.New("compound message cut off")
 	}
 	lengths, rest := b[1:1+2*int(b[0])], b[1+2*int(b[0]):]
 	for ; len(lengths) > 0; lengths = lengths[2:] {
 		n := int(binary.BigEndian.Uint16(lengths))
 		if n > len(rest) {
-			return tells, errors.New("compound message cut off")
+			return errors.New("compound message cut off")
 		}
-		says, err := checkPacket(rest[:n], depth+1)
-		if err != nil {
-			return tells, err
+		if err := checkPacket(rest[:n], depth+1, each); err != nil {
+			return err
 		}
-		tells, rest = tells || says, rest[n:]
+		rest = rest[n:]
+	}
+	return nil
+}
+
+// tellsState tells whether a message says something of a member's state.
+func tellsState(message []byte) bool {
+	return message[0] == msgSuspect || message[0] == msgAlive || message[0] == msgDead
+}
+
+// hearsay turns the word that a member is dead into a suspicion, unless it is the member's own
+// (it leaves) or comes from one whose word counts; both have one form but their first byte.
+func hearsay(message []byte, counts func(accuser, accused string) bool) (turned bool) {
+	if message[0] != msgDead {
+		return false
+	}
+	defer func() {
+		_ = recover() // of no form, over which the decoder falls: memberlist passes it over
+	}()
+	var d deadMessage
+	if err := codec.NewDecoderBytes(message[1:], &codec.MsgpackHandle{}).Decode(&d); err != nil || d.From == d.Node || counts(d.From, d.Node) {
+		return false
 	}
-	return tells, nil
+	message[0] = msgSuspect
+	return true
 }
 
 // readPushPull reads a push/pull message behind its first byte: every length in it is
--- a/internal/fleetlab/cases.go
+++ b/internal/fleetlab/cases.go
@@ -80,7 +80,11 @@
 		return m, fmt.Errorf("%s: %w", c.Name, err)
 	}
 	if broken := l.Check(); len(broken) > 0 {
-		return m, fmt.Errorf("%s: %d rules broken, the first: %v\n%s", c.Name, len(broken), broken[0], l.course(broken[0].Change.Process))
+		var first strings.Builder
+		for _, v := range broken[:min(len(broken), 5)] {
+			fmt.Fprintf(&first, "\n%v", v)
+		}
+		return m, fmt.Errorf("%s: %d rules broken, the first:%s\n%s", c.Name, len(broken), &first, l.course(broken[0].Change.Process))
 	}
 	l.cfg.Log("%s: %v", c.Name, m)
 	return m, nil
