Ask others about a long doubt; a member back from one may not yet declare deaths

Symptom: at 300, after 25 s apart, 2 pairs of 90,000 on one side saw each other dead by the word of members that had only been doubted, not declared dead, when the cut healed; with overlapping sides one view of 300 let a suspicion run out whose refutation it had missed, as equal digests show no doubts. Ruled out: refused calls and words of members back from the dead, which count late since. Change: a doubt of half a suspicion's time or more counts as having been away; a suspect that is silent for as long makes its holder exchange lists with another member, once in half a suspicion at the most.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -209,8 +209,8 @@
 }
 
 // wordCounts tells whether a member's word that another is dead counts here: it does while the
-// member itself is surely there, as in a Conclusion, and, where it came back from the dead, once
-// the suspicions have run out that it may have begun on the other side of a cut. Any other's
+// member itself is surely there, as in a Conclusion, and, where it came back from the dead or
+// from a long doubt, once the suspicions have run out that it may have begun on the other side of a cut. Any other's
 // word makes a suspicion, which the accused hears of and refutes.
 func (f *Fleet) wordCounts(accuser, accused string) bool {
 	v, now := f.view.Load(), time.Now()
--- a/internal/fleet/view.go
+++ b/internal/fleet/view.go
@@ -37,7 +37,7 @@
 	Addr        string `json:"addr"`
 
 	since time.Time // of State and Process, on this process's clock
-	back  time.Time // when this process, or its predecessor as it, came back from the dead; zero: never
+	back  time.Time // when this process, or its predecessor as it, came back from the dead or a long doubt; zero: never
 }
 
 // surely tells whether a member has been alive without a doubt for the settle time.
@@ -205,7 +205,9 @@
 		if same && old.State == m.State {
 			m.since = old.since
 		}
-		if known && old.State == Dead && m.State.present() {
+		// A doubt that lasted, too, may have been a cut, with doubts on its other side.
+		lasted := known && old.State == Suspect && m.State == Alive && now.Sub(old.since) >= ms(t.cfg.SuspectTimeoutMs)/2
+		if lasted || known && old.State == Dead && m.State.present() {
 			m.back = now
 		}
 		if known && !same {
--- a/internal/fleet/watch.go
+++ b/internal/fleet/watch.go
@@ -153,7 +153,8 @@
 // confirm asks suspects. Where the address refuses calls, or ends them without a word, the
 // process is gone (PROTOCOL, "The network"), and it is declared dead without waiting for
 // the rest of the suspicion. One that answers is told that it is suspected, so that it
-// refutes. One that stands still or is cut off says nothing, and keeps its time.
+// refutes. One that stands still or is cut off says nothing, and keeps its time; once that is
+// half over another member is asked what it knows.
 func (f *Fleet) confirm() {
 	look := time.NewTicker(ms(f.cfg.ProbeIntervalMs) / 2)
 	defer look.Stop()
@@ -174,12 +175,33 @@
 				f.declareGone(m)
 			case there:
 				f.exchange(m.Name + "/" + m.Addr)
+			case silent:
+				f.askOthers(m)
 			}
 			break // one at a time: the others have their checkers
 		}
 	}
 }
 
+// askOthers exchanges lists with some member about a suspect that is silent to this process: the
+// suspicion may be refuted to all others, and no digest shows it, as doubts do not count there.
+func (f *Fleet) askOthers(suspect *Member) {
+	f.mu.Lock()
+	lately := time.Since(f.exchanged) < ms(f.cfg.SuspectTimeoutMs)/2
+	f.mu.Unlock()
+	if lately || time.Since(suspect.since) < ms(f.cfg.SuspectTimeoutMs)/2 {
+		return
+	}
+	v := f.view.Load()
+	from := rand.IntN(len(v.Members))
+	for i := range v.Members {
+		if m := &v.Members[(from+i)%len(v.Members)]; m.State == Alive && m.Name != f.cfg.Name {
+			f.exchange(m.Name + "/" + m.Addr)
+			return
+		}
+	}
+}
+
 // overdue tells, now and then, that a suspicion is half over: the others may long have heard
 // its refutation, which this process missed, so it asks for itself.
 func (f *Fleet) overdue(m *Member) bool {
