--- /dev/null
+++ b/cmd/fernlab/main.go
@@ -0,0 +1,203 @@
+// Command fernlab runs fleets of the real agent in an emulated world with troubles, compares
+// ways to run them, and shows how far it can be trusted. docs/LAB.md is its page.
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"os/exec"
+	"os/signal"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/mattn/go-isatty"
+	"github.com/spf13/cobra"
+
+	"clayproxy.example/clayproxy/internal/lab"
+)
+
+func main() {
+	ctx, cancel := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer cancel()
+	if err := root().ExecuteContext(ctx); err != nil {
+		fmt.Fprintln(os.Stderr, "fernlab:", err)
+		os.Exit(1)
+	}
+}
+
+func root() *cobra.Command {
+	cmd := &cobra.Command{Use: "fernlab", Short: "fleets of the real agent in an emulated world", SilenceUsage: true, SilenceErrors: true}
+	cmd.AddCommand(runCmd(), reportCmd(), compareCmd(), drawCmd(), trustCmd())
+	return cmd
+}
+
+// progress tells a person at a terminal what happens, and nobody else.
+func progress() func(string, ...any) {
+	if !isatty.IsTerminal(os.Stderr.Fd()) {
+		return nil
+	}
+	return func(format string, args ...any) {
+		fmt.Fprintf(os.Stderr, "%s  "+format+"\n", append([]any{time.Now().Format("15:04:05")}, args...)...)
+	}
+}
+
+func runCmd() *cobra.Command {
+	var binary, record, logs string
+	cmd := &cobra.Command{Use: "run FILE.toml", Short: "play a scenario: each arm on each seed, in turn", Args: cobra.ExactArgs(1),
+		Long: "Plays a scenario, adds each run to the record, and prints the report. Times in it are such as\n" +
+			"\"300ms\"; \"fernlab draw\" prints whole scenarios. The troubles:\n\n" + troubles(),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			s, err := lab.Load(args[0])
+			if err != nil {
+				return err
+			}
+			to, err := os.OpenFile(record, os.O_CREATE|os.O_WRONLY|os.O_APPEND, 0o644)
+			if err != nil {
+				return err
+			}
+			defer to.Close()
+			dir, err := os.MkdirTemp(logs, "fernlab")
+			if err != nil {
+				return err
+			}
+			if logs == "" {
+				defer os.RemoveAll(dir)
+			}
+			top, _ := exec.Command("git", "rev-parse", "--show-toplevel").Output()
+			var recs []*lab.Record
+			err = lab.Play(cmd.Context(), lab.Config{Scenario: s, Binary: binary, Repo: strings.TrimSpace(string(top)), Dir: dir, Progress: progress(),
+				Done: func(r *lab.Record) error {
+					recs = append(recs, r)
+					return r.Write(to)
+				}})
+			if len(recs) > 0 {
+				if rerr := lab.Report(cmd.OutOrStdout(), recs); err == nil {
+					err = rerr
+				}
+			}
+			return err
+		}}
+	cmd.Flags().StringVar(&binary, "binary", "bin/ringtrack", "the built agent, for arms without a commit")
+	cmd.Flags().StringVar(&record, "record", "fernlab.jsonl", "file to which each run is added")
+	cmd.Flags().StringVar(&logs, "logs", "", "directory in which the agents' logs stay; default: none does")
+	return cmd
+}
+
+func troubles() string {
+	var b strings.Builder
+	does := lab.Kinds()
+	for _, k := range lab.KindNames() {
+		fmt.Fprintf(&b, "  %-16s %s\n", k, does[k])
+	}
+	return b.String()
+}
+
+// records reads the runs of several files.
+func records(files []string) (recs []*lab.Record, err error) {
+	for _, path := range files {
+		f, err := os.Open(path)
+		if err != nil {
+			return nil, err
+		}
+		some, err := lab.ReadRecords(f)
+		f.Close()
+		if err != nil {
+			return nil, fmt.Errorf("%s: %w", path, err)
+		}
+		recs = append(recs, some...)
+	}
+	return recs, nil
+}
+
+func reportCmd() *cobra.Command {
+	var plots, format string
+	cmd := &cobra.Command{Use: "report RECORD...", Short: "print what records hold, and draw their plots", Args: cobra.MinimumNArgs(1),
+		RunE: func(cmd *cobra.Command, files []string) error {
+			recs, err := records(files)
+			if err != nil {
+				return err
+			}
+			if plots != "" {
+				paths, err := lab.Plot(recs, plots, format)
+				if err != nil {
+					return err
+				}
+				fmt.Fprintln(cmd.OutOrStdout(), strings.Join(paths, "\n"))
+			}
+			return lab.Report(cmd.OutOrStdout(), recs)
+		}}
+	cmd.Flags().StringVar(&plots, "plots", "", "directory to draw into; empty: nothing is drawn")
+	cmd.Flags().StringVar(&format, "format", "svg", "svg or png")
+	return cmd
+}
+
+func compareCmd() *cobra.Command {
+	return &cobra.Command{Use: "compare BASE ARM RECORD...", Short: "print the paired differences of two arms", Args: cobra.MinimumNArgs(3),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			recs, err := records(args[2:])
+			if err != nil {
+				return err
+			}
+			diffs, err := lab.Compare(recs, args[0], args[1])
+			if err != nil {
+				return err
+			}
+			for _, d := range diffs {
+				fmt.Fprintf(cmd.OutOrStdout(), "%-28s %10.4g %10.4g  %+.4g ± %.4g over %d pairs\n", d.Figure, d.Base, d.Arm, d.Mean, d.Half, d.Pairs)
+			}
+			return nil
+		}}
+}
+
+func drawCmd() *cobra.Command {
+	var seed uint64
+	var agents, nodes int
+	var length time.Duration
+	cmd := &cobra.Command{Use: "draw KIND", Short: "print a scenario of a kind: " + strings.Join(lab.Days(), ", "), Args: cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			return lab.Draw(cmd.OutOrStdout(), args[0], seed, agents, nodes, length)
+		}}
+	cmd.Flags().Uint64Var(&seed, "seed", 1, "what its sizes are drawn from")
+	cmd.Flags().IntVar(&agents, "agents", 12, "agents")
+	cmd.Flags().IntVar(&nodes, "nodes", 12, "price nodes")
+	cmd.Flags().DurationVar(&length, "length", 30*time.Second, "of the traffic")
+	return cmd
+}
+
+func trustCmd() *cobra.Command {
+	cmd := &cobra.Command{Use: "trust", Short: "show how far the emulator can be trusted"}
+	var seeds int
+	var length time.Duration
+	queues := &cobra.Command{Use: "queues", Short: "compare one node's waits with queueing theory", Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			fmt.Fprintln(cmd.OutOrStdout(), "| queue | theory, ms | measured, ms | |\n| --- | --- | --- | --- |")
+			return waits(cmd.OutOrStdout(), seeds, length)
+		}}
+	queues.Flags().IntVar(&seeds, "seeds", 8, "runs of each")
+	queues.Flags().DurationVar(&length, "length", 15*time.Second, "of a run")
+	var figure string
+	rank := &cobra.Command{Use: "rank RECORD BEST NEXT...", Short: "tell whether arms come out in a known order, such as the bench's of older commits",
+		Args: cobra.MinimumNArgs(3),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			recs, err := records(args[:1])
+			if err != nil {
+				return err
+			}
+			return lab.Rank(cmd.OutOrStdout(), recs, figure, args[1:])
+		}}
+	rank.Flags().StringVar(&figure, "figure", "in time", "the figure to rank by, more being better")
+	cmd.AddCommand(queues, rank)
+	return cmd
+}
+
+func waits(out io.Writer, seeds int, length time.Duration) (err error) {
+	for _, q := range lab.Queues {
+		if werr := q.Waits(out, seeds, length); err == nil {
+			err = werr
+		}
+	}
+	return err
+}
--- /dev/null
+++ b/internal/lab/plot.go
@@ -0,0 +1,86 @@
+package lab
+
+import (
+	"fmt"
+	"path/filepath"
+
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/vg"
+
+	"clayproxy.example/clayproxy/internal/world"
+)
+
+// Plot draws the records that count into a directory and gives the files' paths: service by
+// second (the part of the worth asked for that is served in time, mean over the seeds of each
+// arm), and for each arm the share of its cold bound that each node started in the run met.
+// Format is a file ending that gonum/plot knows, such as "svg" or "png".
+func Plot(recs []*Record, dir, format string) (files []string, err error) {
+	arms := Arms(recs)
+	service := plot.New()
+	service.Title.Text = "service by second"
+	service.X.Label.Text, service.Y.Label.Text = "second", "worth served in time, of what was asked"
+	service.Y.Min, service.Y.Max = 0, 1
+	cold := plot.New()
+	cold.Title.Text = "most load of cold nodes against their bound (1: falls over)"
+	cold.X.Label.Text, cold.Y.Label.Text = "node, by its load", "of its bound"
+	for i, arm := range arms {
+		var lines, points plotter.XYs
+		sums := map[int]world.Second{}
+		var colds []float64
+		for _, r := range recs {
+			if r.Arm != arm || !r.Counts {
+				continue
+			}
+			for s, sec := range r.Result.Seconds {
+				sum := sums[s]
+				sum.Asked += sec.Asked
+				sum.InTime += sec.InTime
+				sums[s] = sum
+			}
+			for _, n := range r.Result.Nodes {
+				if n.Cold > 0 {
+					colds = append(colds, n.Cold)
+				}
+			}
+		}
+		for s := range len(sums) {
+			if sums[s].Asked > 0 {
+				lines = append(lines, plotter.XY{X: float64(s), Y: sums[s].InTime / sums[s].Asked})
+			}
+		}
+		for n, c := range sorted(colds) {
+			points = append(points, plotter.XY{X: float64(n), Y: c})
+		}
+		if len(lines) > 0 {
+			if err := addLine(service, i, arm, lines); err != nil {
+				return nil, err
+			}
+		}
+		if len(points) > 0 {
+			if err := addLine(cold, i, arm, points); err != nil {
+				return nil, err
+			}
+		}
+	}
+	for name, p := range map[string]*plot.Plot{"service": service, "cold": cold} {
+		path := filepath.Join(dir, name+"."+format)
+		if err := p.Save(18*vg.Centimeter, 9*vg.Centimeter, path); err != nil {
+			return files, fmt.Errorf("%s: %w", path, err)
+		}
+		files = append(files, path)
+	}
+	return files, nil
+}
+
+func addLine(p *plot.Plot, i int, name string, xys plotter.XYs) error {
+	line, err := plotter.NewLine(xys)
+	if err != nil {
+		return err
+	}
+	line.Color, line.Dashes = plotutil.Color(i), plotutil.Dashes(i)
+	p.Add(line)
+	p.Legend.Add(name, line)
+	return nil
+}
--- /dev/null
+++ b/internal/lab/run.go
@@ -0,0 +1,386 @@
+package lab
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"runtime"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"clayproxy.example/clayproxy/internal/cluster"
+	"clayproxy.example/clayproxy/internal/switchboard"
+	"clayproxy.example/clayproxy/internal/world"
+)
+
+// Config is how a lab plays a scenario.
+type Config struct {
+	Scenario *Scenario
+	Binary   string // the built agent, for arms without a commit
+	Repo     string // the checkout from which commits are built; empty: none can be
+	Dir      string // for configurations, logs and builds
+	// Progress is told what happens; nil: nobody.
+	Progress func(format string, args ...any)
+	// Done is called with each run as it ends.
+	Done func(*Record) error
+}
+
+// Record is one run: an arm on a seed.
+type Record struct {
+	Scenario   string        `json:"scenario"`
+	Arm        string        `json:"arm"`
+	Seed       uint64        `json:"seed"`
+	Commit     string        `json:"commit"` // of the agents' program, as far as it is known
+	Machine    string        `json:"machine"`
+	Length     time.Duration `json:"length_ns"`
+	Counts     bool          `json:"counts"` // false: the lab failed or was late, see Result.Faults
+	Result     *world.Result `json:"result"`
+	AgentsCPU  float64       `json:"agents_cpu_s"`
+	LabCPU     float64       `json:"lab_cpu_s"`
+	AgentFault string        `json:"agent_fault,omitempty"` // an agent that ended by itself
+}
+
+// Play plays all arms on all seeds, the arms of a seed in turn, another first on each seed.
+func Play(ctx context.Context, cfg Config) error {
+	if cfg.Progress == nil {
+		cfg.Progress = func(string, ...any) {}
+	}
+	if err := cfg.Scenario.fits(); err != nil {
+		return err
+	}
+	s := cfg.Scenario
+	programs := map[string]string{}
+	for _, a := range s.Arms {
+		if programs[a.Commit] == "" {
+			program, err := cfg.program(a.Commit)
+			if err != nil {
+				return err
+			}
+			programs[a.Commit] = program
+		}
+	}
+	for n := range s.Seeds {
+		for i := range s.Arms {
+			a := s.Arms[(i+n)%len(s.Arms)]
+			seed := s.Seed + uint64(n)
+			cfg.Progress("seed %d (%d of %d), arm %q", seed, n+1, s.Seeds, a.Name)
+			rec, err := cfg.one(ctx, a, programs[a.Commit], seed)
+			if err != nil {
+				return fmt.Errorf("arm %q, seed %d: %w", a.Name, seed, err)
+			}
+			if err := cfg.Done(rec); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+// fits refuses a scenario that this machine is too small for, and says what it takes.
+func (s *Scenario) fits() error {
+	cpus := float64(runtime.NumCPU())
+	// By docs/LAB.md: an agent takes some 12 MB and, idle, 0.1 % of a processor; a request 1 ms in all.
+	need := s.rate()*1.0/1000 + float64(s.Fleet.Agents)*0.001 + 0.5
+	if need > cpus {
+		return fmt.Errorf("%d agents and %.0f requests a second take some %.1f processors, and %.0f are here", s.Fleet.Agents, s.rate(), need, cpus)
+	}
+	if mb, free := s.Fleet.Agents*14+s.Fleet.Nodes*4+200, freeMB(); mb > free {
+		return fmt.Errorf("%d agents and %d nodes take some %d MB, and %d MB are free", s.Fleet.Agents, s.Fleet.Nodes, mb, free)
+	}
+	var lim syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &lim); err != nil {
+		return err
+	}
+	fds := uint64(200 + s.Fleet.Nodes*len(s.Fleet.Zones)*2 + s.Fleet.Agents*(12+s.Fleet.Nodes*2))
+	if fds > lim.Max {
+		return fmt.Errorf("%d agents and %d nodes take some %d descriptors, and %d are allowed", s.Fleet.Agents, s.Fleet.Nodes, fds, lim.Max)
+	}
+	if lim.Cur < fds {
+		lim.Cur = fds
+		return syscall.Setrlimit(syscall.RLIMIT_NOFILE, &lim)
+	}
+	return nil
+}
+
+// freeMB is what this machine has of memory that is not in use, in MB (proc(5), meminfo).
+func freeMB() int {
+	text, err := os.ReadFile("/proc/meminfo")
+	kb := 0
+	if err == nil {
+		for line := range strings.Lines(string(text)) {
+			fmt.Sscanf(line, "MemAvailable: %d kB", &kb)
+		}
+	}
+	return kb >> 10
+}
+
+// program is the agent that a commit builds, or the one given.
+func (cfg *Config) program(commit string) (string, error) {
+	if commit == "" {
+		return filepath.Abs(cfg.Binary)
+	}
+	if cfg.Repo == "" {
+		return "", errors.New("no checkout is known from which a commit could be built")
+	}
+	cfg.Progress("building %s", commit)
+	src := filepath.Join(cfg.Dir, "src-"+commit)
+	if err := os.MkdirAll(src, 0o755); err != nil {
+		return "", err
+	}
+	pack := exec.Command("git", "-C", cfg.Repo, "archive", commit)
+	unpack := exec.Command("tar", "-x", "-C", src)
+	pipe, err := pack.StdoutPipe()
+	if err != nil {
+		return "", err
+	}
+	unpack.Stdin = pipe
+	if err := unpack.Start(); err != nil {
+		return "", err
+	}
+	if err := errors.Join(pack.Run(), unpack.Wait()); err != nil {
+		return "", fmt.Errorf("commit %s: %w", commit, err)
+	}
+	out := filepath.Join(cfg.Dir, "ringtrack-"+commit)
+	build := exec.Command("go", "build", "-o", out, "./cmd/ringtrack")
+	build.Dir = src
+	if text, err := build.CombinedOutput(); err != nil {
+		return "", fmt.Errorf("commit %s: %w\n%s", commit, err, text)
+	}
+	return out, nil
+}
+
+// run is one arm on one seed.
+type run struct {
+	s     *Scenario
+	w     *world.World
+	wcfg  world.Config
+	arm   Arm
+	board *switchboard.Board // nil: the agents do not talk
+	procs *cluster.Cluster
+	names []string
+	index map[string]int
+	over  chan struct{} // closed when the traffic is over
+}
+
+func (cfg *Config) one(ctx context.Context, a Arm, program string, seed uint64) (*Record, error) {
+	s := cfg.Scenario
+	dir, err := os.MkdirTemp(cfg.Dir, "run")
+	if err != nil {
+		return nil, err
+	}
+	r := &run{s: s, wcfg: s.world(seed), arm: a, index: map[string]int{}, over: make(chan struct{})}
+	if r.w, err = world.New(r.wcfg); err != nil {
+		return nil, err
+	}
+	defer r.w.Close()
+	self, children := cpu(syscall.RUSAGE_SELF), cpu(syscall.RUSAGE_CHILDREN)
+	if err := r.prepare(dir, program, seed); err != nil {
+		return nil, err
+	}
+	if r.board != nil {
+		defer r.board.Close()
+	}
+	defer r.procs.Close()
+	if err := each(r.names, r.start); err != nil {
+		return nil, err
+	}
+	var troubles sync.WaitGroup
+	faults := make(chan error, len(s.Troubles))
+	for i, t := range s.Troubles {
+		// Each has draws of its own, so that what it meets does not hang on the others' times.
+		draw := rand.New(rand.NewPCG(seed, 100+uint64(i)))
+		troubles.Add(1)
+		go func() {
+			defer troubles.Done()
+			r.hold(t.At)
+			if err := kinds[t.Kind].play(r, t, draw); err != nil {
+				faults <- fmt.Errorf("%s: %w", t.Kind, err)
+			}
+		}()
+	}
+	stop := context.AfterFunc(ctx, func() { r.procs.Close() })
+	res := r.w.Run(s.Length)
+	stop()
+	close(r.over)
+	troubles.Wait()
+	close(faults)
+	if ctx.Err() != nil {
+		return nil, errors.New("interrupted")
+	}
+	for err := range faults {
+		res.Faults = append(res.Faults, err.Error())
+	}
+	rec := &Record{Scenario: s.Name, Arm: a.Name, Seed: seed, Commit: a.Commit, Machine: machine(), Length: s.Length, Result: res}
+	for _, n := range r.names {
+		if !r.procs.Running(n) {
+			rec.AgentFault = n + " ended by itself"
+		}
+	}
+	r.procs.Close()
+	rec.LabCPU, rec.AgentsCPU = cpu(syscall.RUSAGE_SELF)-self, cpu(syscall.RUSAGE_CHILDREN)-children
+	rec.Counts = len(res.Faults) == 0
+	return rec, nil
+}
+
+// cpu is the processor time of this process, or of its children that have ended, in seconds.
+func cpu(who int) float64 {
+	var u syscall.Rusage
+	if syscall.Getrusage(who, &u) != nil {
+		return 0
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano()).Seconds()
+}
+
+func machine() string {
+	return fmt.Sprintf("%d processors, %s/%s, %s", runtime.NumCPU(), runtime.GOOS, runtime.GOARCH, runtime.Version())
+}
+
+// prepare writes the agents' configurations.
+func (r *run) prepare(dir, program string, seed uint64) (err error) {
+	var seeds []string
+	places := map[string][2]string{}
+	if r.arm.Fleet {
+		if r.board, err = switchboard.New(seed); err != nil {
+			return err
+		}
+	}
+	for i, a := range r.wcfg.Agents {
+		r.names = append(r.names, a.Name)
+		r.index[a.Name] = i
+		if r.board != nil {
+			bind, advertise, err := r.board.Add(a.Name)
+			if err != nil {
+				return err
+			}
+			places[a.Name] = [2]string{bind, advertise}
+			if len(seeds) < 3 {
+				seeds = append(seeds, advertise)
+			}
+		}
+	}
+	for i, a := range r.wcfg.Agents {
+		c := r.config(i, a, seed)
+		if p, ok := places[a.Name]; ok {
+			c["fleet"] = map[string]any{"bind": p[0], "advertise": p[1], "seeds": seeds, "site": "lab",
+				"zone": r.s.Fleet.Zones[a.Zone], "networks": []string{"127.0.0.0/8"}}
+		}
+		overlay(c, r.arm.Config)
+		text, err := json.Marshal(c)
+		if err != nil {
+			return err
+		}
+		if err := os.WriteFile(filepath.Join(dir, a.Name+".json"), text, 0o600); err != nil {
+			return err
+		}
+	}
+	r.procs, err = cluster.New(cluster.Config{Binary: program, Dir: dir, Names: r.names, Env: func(name string) []string {
+		return []string{"PROXY_CONFIG=" + filepath.Join(dir, name+".json"), "PROXY_NAME=", "PROXY_LISTEN=",
+			"PROXY_DISCOVERY=", "PROXY_MANAGEMENT=", "PROXY_LISTEN_FD=", "TMPDIR=" + dir}
+	}})
+	return err
+}
+
+// overlay lays a table over another, key by key.
+func overlay(under, over map[string]any) {
+	for k, v := range over {
+		if table, ok := v.(map[string]any); ok {
+			if old, ok := under[k].(map[string]any); ok {
+				overlay(old, table)
+				continue
+			}
+		}
+		under[k] = v
+	}
+}
+
+// config is an agent's configuration (DEPLOY, "What an agent is told"; WIRE, "Start-up parameters").
+func (r *run) config(i int, a world.Agent, seed uint64) map[string]any {
+	s, ms := r.s, func(d time.Duration) float64 { return float64(d.Microseconds()) / 1000 }
+	var classes, shapes []any
+	for _, k := range s.Classes {
+		group, key := k.Group, ms(k.KeyFor)
+		if group == "" {
+			group, key = "all", 5000
+		}
+		classes = append(classes, map[string]any{"name": k.Name, "aimMs": ms(k.Aim), "giveUpMs": ms(k.GiveUp), "credit": k.Worth, "effect": k.Effect,
+			"group": group, "keyTtlMs": key, "lateShare": k.LateWorth, "streamed": false})
+	}
+	warm := false
+	for _, m := range s.Models {
+		shapes = append(shapes, m.Kind)
+		warm = warm || m.KeyGain > 0
+	}
+	return map[string]any{"name": a.Name, "listen": r.w.Address(i, world.ListenPort), "management": r.w.Address(i, world.ManagementPort),
+		"discovery": r.w.Address(i, world.DiscoveryPort), "seed": strconv.FormatUint(seed*1000+uint64(i), 16),
+		"limits": map[string]any{"cores": s.Fleet.Cores, "memory_mb": s.Fleet.MemoryMB, "sockets": s.Fleet.Sockets}, "known": r.w.Known(a.Name),
+		"settings": map[string]any{"classes": classes, "clients": map[string]any{"marksRetry": true},
+			"contract": map[string]any{"answerSlackMs": 20, "askWithinMs": 10000, "coldFrom": s.Rules.ColdFrom, "coldMs": ms(s.Rules.ColdFor),
+				"drainGraceMs": ms(s.Rules.DrainGrace), "fallMultiple": s.Rules.FallMultiple, "tipAfterMs": ms(s.Rules.FallIn)},
+			"failureDomains": s.Fleet.Zones, "family": "mesh", "familyInfo": map[string]any{"warmKeys": warm}, "index": i,
+			"limits": map[string]any{"cancelling": true, "connectTimeoutMs": 250, "keepaliveMs": ms(r.wcfg.KeepAlive), "maxAttempts": 5,
+				"maxRetryAfterMs": 1500, "openCap": 20000, "parallelTries": false, "probing": true, "retryAfter": false},
+			"membershipMode": "pushed", "objectiveMix": map[string]any{"whole": 0.6, "worstClass": 0.35, "worstWindow": 0.05},
+			"prices":       map[string]any{"crossZone": 0.03, "lateFail": 0.05, "probe": 0.0082, "waste": 0.032},
+			"replicasOfMe": len(r.wcfg.Agents), "roundMs": 5, "shapes": shapes, "weights": "nominal", "worthBy": "work", "zone": a.Zone}}
+}
+
+// start starts an agent and waits until it is ready.
+func (r *run) start(name string) error {
+	if err := r.procs.Start(name); err != nil {
+		return err
+	}
+	r.w.AgentStarted(name)
+	url := "http://" + r.w.Address(r.index[name], world.ListenPort) + "/-/ready"
+	client := http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true,
+		DialContext: (&net.Dialer{Timeout: time.Second}).DialContext}}
+	return cluster.Await(30*time.Second, name+" is ready", func() bool {
+		resp, err := client.Get(url)
+		if err != nil {
+			select {
+			case <-r.over:
+				return true // nobody waits for it any more
+			default:
+				return false
+			}
+		}
+		resp.Body.Close()
+		return resp.StatusCode == http.StatusOK
+	})
+}
+
+// each does something for many at once.
+func each(names []string, do func(string) error) error {
+	errs := make([]error, len(names))
+	var wg sync.WaitGroup
+	slots := make(chan struct{}, 32)
+	for i, n := range names {
+		wg.Add(1)
+		slots <- struct{}{}
+		go func() {
+			defer wg.Done()
+			errs[i] = do(n)
+			<-slots
+		}()
+	}
+	wg.Wait()
+	return errors.Join(errs...)
+}
+
+// Figures are a record's figures with what the processes took.
+func (rec *Record) Figures() map[string]float64 {
+	out := maps.Clone(rec.Result.Figures)
+	out["agents' CPU s"], out["lab's CPU s"] = rec.AgentsCPU, rec.LabCPU
+	out["rules broken"] = float64(len(rec.Result.Broken))
+	return out
+}
--- /dev/null
+++ b/internal/lab/scenario.go
@@ -0,0 +1,322 @@
+// Package lab runs fleets of the real agent in a world of its own (internal/world) through
+// scenarios with troubles, in arms that play the same seeds in turn, and compares them.
+//
+// Its invariants: an arm is given the same requests, nodes and troubles as every other on the
+// same seed; a run in which the lab itself was late or failed never counts, and says so; and a
+// difference between arms is stated as an interval over pairs of the same seed.
+package lab
+
+import (
+	"errors"
+	"fmt"
+	"math"
+	"os"
+	"regexp"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/BurntSushi/toml"
+
+	"clayproxy.example/clayproxy/internal/world"
+)
+
+// Scenario is what is played: a fleet, its traffic, troubles on a timeline, and the arms. The
+// TOML keys are its fields' tags; what is left out is as at the site (see Default). Times are
+// such as "300ms".
+type Scenario struct {
+	Name     string        `toml:"name"`
+	Length   time.Duration `toml:"length"` // of the traffic
+	Seed     uint64        `toml:"seed"`   // the first
+	Seeds    int           `toml:"seeds"`  // how many, one after the other
+	Fleet    Fleet         `toml:"fleet"`
+	Traffic  Traffic       `toml:"traffic"`
+	Rules    Rules         `toml:"rules"`
+	Classes  []Class       `toml:"class"`
+	Models   []Model       `toml:"model"`
+	Troubles []Trouble     `toml:"trouble"`
+	Arms     []Arm         `toml:"arm"`
+}
+
+// Fleet is the agents and the nodes, spread evenly over the zones.
+type Fleet struct {
+	Agents    int              `toml:"agents"`
+	Nodes     int              `toml:"nodes"`
+	Pod       int              `toml:"pod"` // nodes of one
+	Zones     []string         `toml:"zones"`
+	Cross     time.Duration    `toml:"cross"`      // one way between zones
+	Cores     float64          `toml:"cores"`      // of an agent
+	MemoryMB  int              `toml:"memory_mb"`  // of an agent
+	Sockets   int              `toml:"sockets"`    // of an agent
+	ListDelay [2]time.Duration `toml:"list_delay"` // from, to
+}
+
+// Traffic is what the applications ask. Rate is in requests a second; if it is 0, Load says which
+// part of what the nodes can do is asked.
+type Traffic struct {
+	Rate      float64       `toml:"rate"`
+	Load      float64       `toml:"load"`
+	Uneven    float64       `toml:"uneven"` // an agent has up to 1 + this times the mean, down to 1 - this
+	Keys      int           `toml:"keys"`
+	Zipf      float64       `toml:"zipf"`
+	Retries   int           `toml:"retries"`
+	TryShare  float64       `toml:"try_share"`
+	RetryWait time.Duration `toml:"retry_wait"`
+}
+
+// Rules are the figures of the four rules.
+type Rules struct {
+	DrainGrace   time.Duration `toml:"drain_grace"`
+	ColdFrom     float64       `toml:"cold_from"`
+	ColdFor      time.Duration `toml:"cold_for"`
+	FallMultiple float64       `toml:"fall_multiple"`
+	FallIn       time.Duration `toml:"fall_in"`
+}
+
+// Class is a class of requests (see world.Class).
+type Class struct {
+	Name      string        `toml:"name"`
+	Share     float64       `toml:"share"`
+	Work      time.Duration `toml:"work"`
+	WorkCV    float64       `toml:"work_cv"`
+	Wait      time.Duration `toml:"wait"`
+	Aim       time.Duration `toml:"aim"`
+	GiveUp    time.Duration `toml:"give_up"`
+	Worth     float64       `toml:"worth"`
+	LateWorth float64       `toml:"late_worth"`
+	Effect    string        `toml:"effect"`
+	Group     string        `toml:"group"`
+	KeyFor    time.Duration `toml:"key_for"`
+}
+
+// Model is a kind of node (see world.Model).
+type Model struct {
+	Kind      string        `toml:"kind"`
+	Share     float64       `toml:"share"`
+	Cores     int           `toml:"cores"`
+	Speed     float64       `toml:"speed"`
+	Slots     int           `toml:"slots"`
+	Queue     int           `toml:"queue"`
+	ColdFrom  float64       `toml:"cold_from"`
+	ColdFor   time.Duration `toml:"cold_for"`
+	Thrash    float64       `toml:"thrash"`
+	ThrashAt  float64       `toml:"thrash_at"`
+	Choke     Choke         `toml:"choke"`
+	KeyGain   float64       `toml:"key_gain"`
+	KeyFor    time.Duration `toml:"key_for"`
+	Keys      int           `toml:"keys"`
+	Conns     int           `toml:"conns"`
+	Handshake time.Duration `toml:"handshake"`
+	Probe     time.Duration `toml:"probe"`
+	ErrorRate float64       `toml:"error_rate"`
+}
+
+// Choke is how a node slows down when crowded (see world.Choke).
+type Choke struct {
+	At     float64       `toml:"at"`
+	Below  float64       `toml:"below"`
+	Over   time.Duration `toml:"over"`
+	Rest   time.Duration `toml:"rest"`
+	Most   time.Duration `toml:"most"`
+	Slower float64       `toml:"slower"`
+}
+
+// Trouble is what happens at a time. What Kinds[Kind] says is how it uses the other keys.
+type Trouble struct {
+	At    time.Duration `toml:"at"`
+	Kind  string        `toml:"kind"`
+	For   time.Duration `toml:"for"`
+	Share float64       `toml:"share"`
+	Size  float64       `toml:"size"`
+	Zone  string        `toml:"zone"`
+	Batch float64       `toml:"batch"`
+	Drain time.Duration `toml:"drain"`
+	Back  time.Duration `toml:"back"`
+}
+
+// Arm is one way to run the agents: a configuration laid over the usual one, of this checkout's
+// program or of the one that a commit builds.
+type Arm struct {
+	Name   string         `toml:"name"`
+	Commit string         `toml:"commit"` // empty: the program that the lab is given
+	Fleet  bool           `toml:"fleet"`  // with a section fleet, through a switchboard
+	Config map[string]any `toml:"config"` // laid over the agents' configuration, key by key
+}
+
+// Default is the site: the middle of the ranges that the operators tell (BRIEF), for a fleet of
+// moderate size. Classes and models are those that a scenario has if it names none.
+func Default() *Scenario {
+	return &Scenario{Name: "scenario", Length: 30 * time.Second, Seed: 1, Seeds: 1,
+		Fleet: Fleet{Agents: 12, Nodes: 12, Pod: 6, Zones: []string{"quito-norte", "quito-sur"}, Cross: 1200 * time.Microsecond,
+			Cores: 0.2, MemoryMB: 64, Sockets: 256, ListDelay: [2]time.Duration{500 * time.Millisecond, 3 * time.Second}},
+		Traffic: Traffic{Load: 0.6, Uneven: 0.5, Keys: 1000, Zipf: 0.7, Retries: 3, TryShare: 0.5, RetryWait: 20 * time.Millisecond},
+		Rules:   Rules{DrainGrace: 300 * time.Millisecond, ColdFrom: 0.14, ColdFor: 24 * time.Second, FallMultiple: 3, FallIn: 2 * time.Second},
+	}
+}
+
+func siteClasses() []Class {
+	return []Class{
+		{Name: "cierre-valor", Share: 0.63, Work: 58 * time.Millisecond, WorkCV: 0.55, Wait: 120 * time.Millisecond, Aim: 750 * time.Millisecond,
+			GiveUp: 3 * time.Second, Worth: 10, LateWorth: 0.25, Effect: "single_shot"},
+		{Name: "registro-precio", Share: 0.37, Work: 57 * time.Millisecond, WorkCV: 0.45, Wait: 120 * time.Millisecond, Aim: 500 * time.Millisecond,
+			GiveUp: 2 * time.Second, Worth: 8, LateWorth: 0.25, Effect: "guarded", Group: "cell", KeyFor: 10 * time.Second},
+	}
+}
+
+func siteModels() []Model {
+	m := Model{Cores: 2, Slots: 22, Queue: 5, Thrash: 0.18, ThrashAt: 18, KeyGain: 0.45, KeyFor: 6 * time.Second, Keys: 60, Conns: 1500,
+		Handshake: 4 * time.Millisecond, Probe: 42 * time.Microsecond,
+		Choke: Choke{At: 6, Below: 0.3, Over: 2 * time.Second, Rest: 3 * time.Second, Most: 25 * time.Second, Slower: 2.7}}
+	normal, slow := m, m
+	normal.Kind, normal.Share, normal.Speed, normal.ColdFrom, normal.ColdFor, normal.ErrorRate = "normal-2c", 0.59, 0.97, 0.25, 16*time.Second, 0.0015
+	slow.Kind, slow.Share, slow.Speed, slow.ColdFrom, slow.ColdFor = "lento-2c", 0.41, 0.6, 0.2, 17*time.Second
+	return []Model{normal, slow}
+}
+
+// Load reads a scenario; a wrong key or value is an error that names the file and the line.
+func Load(path string) (*Scenario, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	return Parse(path, string(text))
+}
+
+// Parse is Load of a text.
+func Parse(path, text string) (*Scenario, error) {
+	s := Default()
+	md, err := toml.Decode(text, s)
+	if perr := (toml.ParseError{}); errors.As(err, &perr) {
+		return nil, fmt.Errorf("%s:%d: %s", path, perr.Position.Line, perr.Message)
+	} else if err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	for _, key := range md.Undecoded() {
+		if !strings.Contains(key.String(), "config.") { // an arm's overlay may have any
+			return nil, fmt.Errorf("%s:%d: unknown key %q", path, lineOf(text, key), key)
+		}
+	}
+	if len(s.Classes) == 0 {
+		s.Classes = siteClasses()
+	}
+	if len(s.Models) == 0 {
+		s.Models = siteModels()
+	}
+	if key, err := s.check(); err != nil {
+		return nil, fmt.Errorf("%s:%d: %s: %w", path, lineOf(text, strings.Split(key, ".")), key, err)
+	}
+	return s, nil
+}
+
+// lineOf is the line of a text in which a key's last part is set, or its table's, or the first.
+func lineOf(text string, key []string) int {
+	for i := len(key) - 1; i >= 0; i-- {
+		set := regexp.MustCompile(`^\s*(` + regexp.QuoteMeta(key[i]) + `\s*=|\[+[^]]*\b` + regexp.QuoteMeta(key[i]) + `\]+)`)
+		for n, line := range strings.Split(text, "\n") {
+			if set.MatchString(line) {
+				return n + 1
+			}
+		}
+	}
+	return 1
+}
+
+// check names the first key whose value makes no sense.
+func (s *Scenario) check() (string, error) {
+	above := errors.New("must be above 0")
+	part := errors.New("must be from 0 to 1")
+	switch {
+	case s.Length <= 0:
+		return "length", above
+	case s.Seeds < 1:
+		return "seeds", above
+	case s.Fleet.Agents < 1:
+		return "fleet.agents", above
+	case s.Fleet.Nodes < 1:
+		return "fleet.nodes", above
+	case s.Fleet.Pod < 1:
+		return "fleet.pod", above
+	case len(s.Fleet.Zones) == 0:
+		return "fleet.zones", errors.New("one at least is needed")
+	case s.Fleet.ListDelay[1] < s.Fleet.ListDelay[0]:
+		return "fleet.list_delay", errors.New("the second is below the first")
+	case s.Traffic.Rate <= 0 && s.Traffic.Load <= 0:
+		return "traffic.rate", errors.New("rate or load must be above 0")
+	case s.Traffic.Uneven < 0 || s.Traffic.Uneven >= 1:
+		return "traffic.uneven", errors.New("must be from 0 to below 1")
+	case s.Traffic.TryShare <= 0 || s.Traffic.TryShare > 1:
+		return "traffic.try_share", part
+	}
+	for _, t := range s.Troubles {
+		switch {
+		case kinds[t.Kind].play == nil:
+			return "trouble.kind", fmt.Errorf("there is no trouble %q", t.Kind)
+		case t.At < 0 || t.At > s.Length:
+			return "trouble.at", errors.New("is outside the length")
+		case t.Share < 0 || t.Share > 1:
+			return "trouble.share", part
+		case kinds[t.Kind].zone && !slices.Contains(s.Fleet.Zones, t.Zone):
+			return "trouble.zone", fmt.Errorf("there is no zone %q", t.Zone)
+		}
+	}
+	names := map[string]bool{}
+	for _, a := range s.Arms {
+		if a.Name == "" || names[a.Name] {
+			return "arm.name", fmt.Errorf("must be there and be another for each arm, is %q", a.Name)
+		}
+		names[a.Name] = true
+	}
+	if len(s.Arms) == 0 {
+		s.Arms = []Arm{{Name: "as it is"}}
+	}
+	return "", nil
+}
+
+// rate is how many requests a second are asked.
+func (s *Scenario) rate() float64 {
+	if s.Traffic.Rate > 0 {
+		return s.Traffic.Rate
+	}
+	work, cores, shares := 0.0, 0.0, 0.0
+	for _, c := range s.Classes {
+		work += c.Share * c.Work.Seconds()
+	}
+	for _, m := range s.Models {
+		cores += m.Share * float64(m.Cores) * m.Speed
+		shares += m.Share
+	}
+	return s.Traffic.Load * float64(s.Fleet.Nodes) * cores / shares / work
+}
+
+// world is the scenario's world on a seed.
+func (s *Scenario) world(seed uint64) world.Config {
+	c := world.Config{Seed: seed, Zones: s.Fleet.Zones, Cross: s.Fleet.Cross, Nodes: s.Fleet.Nodes, CellSize: s.Fleet.Pod,
+		Contract: world.Contract{DrainGrace: s.Rules.DrainGrace, ColdFrom: s.Rules.ColdFrom, ColdFor: s.Rules.ColdFor,
+			FallMultiple: s.Rules.FallMultiple, FallIn: s.Rules.FallIn, Slack: 50 * time.Millisecond},
+		Rate: s.rate(), Keys: s.Traffic.Keys, Zipf: s.Traffic.Zipf, Retries: s.Traffic.Retries, TryShare: s.Traffic.TryShare,
+		RetryWait: s.Traffic.RetryWait, ListDelay: s.Fleet.ListDelay, KeepAlive: time.Minute}
+	shares, sum := make([]float64, s.Fleet.Agents), 0.0
+	for i := range shares {
+		// Spread evenly between the least and the most, in an order that mixes the zones.
+		x := 0.5
+		if n := len(shares); n > 1 {
+			x = float64(i*7%n) / float64(n-1)
+		}
+		shares[i] = 1 + s.Traffic.Uneven*(2*math.Min(1, x)-1)
+		sum += shares[i]
+	}
+	for i, share := range shares {
+		c.Agents = append(c.Agents, world.Agent{Name: fmt.Sprintf("a%03d", i), Zone: i % len(s.Fleet.Zones), Share: share / sum})
+	}
+	for _, k := range s.Classes {
+		c.Classes = append(c.Classes, world.Class(k))
+	}
+	for _, m := range s.Models {
+		c.Shares = append(c.Shares, m.Share)
+		c.Models = append(c.Models, world.Model{Kind: m.Kind, Cores: m.Cores, Speed: m.Speed, Slots: m.Slots, Queue: m.Queue, ColdFrom: m.ColdFrom,
+			ColdFor: m.ColdFor, Thrash: m.Thrash, ThrashAt: m.ThrashAt, KeyGain: m.KeyGain, KeyFor: m.KeyFor, Keys: m.Keys, Conns: m.Conns,
+			Handshake: m.Handshake, Probe: m.Probe, ErrorRate: m.ErrorRate,
+			Choke: world.Choke{At: m.Choke.At, Below: m.Choke.Below, Over: m.Choke.Over, Rest: m.Choke.Rest, Most: m.Choke.Most, Slower: m.Choke.Slower}})
+	}
+	return c
+}
--- /dev/null
+++ b/internal/lab/trouble.go
@@ -0,0 +1,187 @@
+package lab
+
+import (
+	"errors"
+	"maps"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"clayproxy.example/clayproxy/internal/switchboard"
+)
+
+// kind is one trouble: what it does with its keys, and whether it needs a zone.
+type kind struct {
+	does string
+	zone bool
+	play func(r *run, t Trouble, draw *rand.Rand) error
+}
+
+// Kinds tells, for each trouble, what it does with its keys.
+func Kinds() map[string]string {
+	out := map[string]string{}
+	for name, k := range kinds {
+		out[name] = k.does
+	}
+	return out
+}
+
+// KindNames are the troubles in their order.
+func KindNames() []string { return slices.Sorted(maps.Keys(kinds)) }
+
+var kinds map[string]kind
+
+func init() {
+	kinds = map[string]kind{
+		"kill agents":    {does: "SIGKILL to a share at one moment; they start again after back", play: (*run).killAgents},
+		"restart agents": {does: "SIGTERM and a start, a batch of a share at a time, spread over for", play: (*run).restartAgents},
+		"pause agents":   {does: "SIGSTOP for a share, SIGCONT after for", play: (*run).pauseAgents},
+		"deaf agents":    {does: "a share of the agents hears no other for a time; needs arms with a fleet", play: (*run).deafAgents},
+		"lossy agents":   {does: "a part (size) of what agents tell each other is lost for a time", play: (*run).lossyAgents},
+		"slow nodes":     {does: "a share is size times slower for a time", play: func(r *run, t Trouble, draw *rand.Rand) error { return r.ill(t, draw, t.Size, 0) }},
+		"failing nodes":  {does: "a share fails a part (size) of its requests at once for a time", play: func(r *run, t Trouble, draw *rand.Rand) error { return r.ill(t, draw, 1, t.Size) }},
+		"standing nodes": {does: "a share stands still for a time", play: func(r *run, t Trouble, draw *rand.Rand) error { return r.ill(t, draw, math.Inf(1), 0) }},
+		"silent nodes": {does: "a share is cut off from all agents for a time", play: func(r *run, t Trouble, draw *rand.Rand) error {
+			return r.silent(t, -1, some(draw, r.w.Nodes(-1), t.Share))
+		}},
+		"kill nodes": {does: "a share ends at one moment; cold successors start after back", play: func(r *run, t Trouble, draw *rand.Rand) error {
+			r.w.Kill(t.Back, some(draw, r.w.Nodes(-1), t.Share)...)
+			return nil
+		}},
+		"release": {does: "a share is drained (for drain) and replaced by cold nodes, a batch of it at a time, spread over for", play: (*run).release},
+		"zone lost": {zone: true, does: "a zone's nodes fall silent for a time, then come back as cold ones", play: func(r *run, t Trouble, draw *rand.Rand) error {
+			ids := r.w.Nodes(r.zone(t.Zone))
+			err := r.silent(t, -1, ids)
+			r.w.Kill(0, ids...)
+			return err
+		}},
+		"zone cut": {zone: true, does: "a zone's nodes are cut off from the agents of other zones for a time", play: func(r *run, t Trouble, draw *rand.Rand) error {
+			return r.silent(t, r.zone(t.Zone), r.w.Nodes(r.zone(t.Zone)))
+		}},
+		"burst": {does: "traffic is size times as much for a time", play: func(r *run, t Trouble, draw *rand.Rand) error {
+			r.w.Burst(t.Size)
+			r.hold(t.For)
+			r.w.Burst(1)
+			return nil
+		}},
+		"hot key": {does: "a share of the requests has one key for a time", play: func(r *run, t Trouble, draw *rand.Rand) error {
+			r.w.Hot(t.Share)
+			r.hold(t.For)
+			r.w.Hot(0)
+			return nil
+		}},
+		"list down": {does: "discovery is silent for a time", play: func(r *run, t Trouble, draw *rand.Rand) error {
+			r.w.ListDown(true)
+			r.hold(t.For)
+			r.w.ListDown(false)
+			return nil
+		}},
+	}
+}
+
+// hold waits, at the most until the run ends.
+func (r *run) hold(d time.Duration) {
+	select {
+	case <-time.After(d):
+	case <-r.over:
+	}
+}
+
+func (r *run) zone(name string) int { return slices.Index(r.s.Fleet.Zones, name) }
+
+func (r *run) ill(t Trouble, draw *rand.Rand, slow, fails float64) error {
+	ids := some(draw, r.w.Nodes(-1), t.Share)
+	r.w.Trouble(max(1, slow), fails, ids...)
+	r.hold(t.For)
+	r.w.Trouble(1, 0, ids...)
+	return nil
+}
+
+func (r *run) silent(t Trouble, but int, ids []string) error {
+	r.w.Silence(true, but, ids...)
+	r.hold(t.For)
+	r.w.Silence(false, but, ids...)
+	return nil
+}
+
+func (r *run) release(t Trouble, draw *rand.Rand) error {
+	ids := some(draw, r.w.Nodes(-1), t.Share)
+	size := max(1, int(t.Batch*float64(len(ids))+0.5))
+	pause := t.For / time.Duration((len(ids)+size-1)/size)
+	for part := range slices.Chunk(ids, size) {
+		if err := r.w.Replace(t.Drain, part...); err != nil {
+			return err
+		}
+		r.hold(pause)
+	}
+	return nil
+}
+
+// some draws a share of what is there, one at least.
+func some(draw *rand.Rand, names []string, share float64) []string {
+	names = slices.Clone(names)
+	draw.Shuffle(len(names), func(i, j int) { names[i], names[j] = names[j], names[i] })
+	return names[:min(len(names), max(1, int(share*float64(len(names))+0.5)))]
+}
+
+func (r *run) killAgents(t Trouble, draw *rand.Rand) error {
+	names := some(draw, r.names, t.Share)
+	for _, n := range names {
+		r.w.AgentEnded(n)
+	}
+	if err := each(names, r.procs.Kill); err != nil {
+		return err
+	}
+	r.hold(t.Back)
+	return each(names, r.start)
+}
+
+func (r *run) restartAgents(t Trouble, draw *rand.Rand) error {
+	names := some(draw, r.names, t.Share)
+	size := max(1, int(t.Batch*float64(len(names))+0.5))
+	pause := t.For / time.Duration((len(names)+size-1)/size)
+	for part := range slices.Chunk(names, size) {
+		began := time.Now()
+		if err := each(part, func(n string) error { return errors.Join(r.procs.Term(n), r.start(n)) }); err != nil {
+			return err
+		}
+		r.hold(pause - time.Since(began))
+	}
+	return nil
+}
+
+func (r *run) pauseAgents(t Trouble, draw *rand.Rand) error {
+	names := some(draw, r.names, t.Share)
+	if err := each(names, r.procs.Pause); err != nil {
+		return err
+	}
+	r.hold(t.For)
+	return each(names, r.procs.Resume)
+}
+
+func (r *run) deafAgents(t Trouble, draw *rand.Rand) error {
+	if r.board == nil {
+		return nil // agents that do not talk are deaf anyway
+	}
+	var groups [][]string
+	deaf := some(draw, r.names, t.Share)
+	for _, n := range deaf {
+		groups = append(groups, []string{n})
+	}
+	rest := slices.DeleteFunc(slices.Clone(r.names), func(n string) bool { return slices.Contains(deaf, n) })
+	r.board.Partition("deaf", append(groups, rest)...)
+	r.hold(t.For)
+	r.board.Heal("deaf")
+	return nil
+}
+
+func (r *run) lossyAgents(t Trouble, _ *rand.Rand) error {
+	if r.board == nil {
+		return nil
+	}
+	r.board.SetAll(switchboard.Rule{Loss: t.Size})
+	r.hold(t.For)
+	r.board.SetAll(switchboard.Rule{})
+	return nil
+}
--- /dev/null
+++ b/internal/lab/trust.go
@@ -0,0 +1,108 @@
+package lab
+
+import (
+	"fmt"
+	"io"
+	"math"
+	"slices"
+	"time"
+
+	"gonum.org/v1/gonum/stat"
+	"gonum.org/v1/gonum/stat/distuv"
+
+	"clayproxy.example/clayproxy/internal/world"
+)
+
+// Queue is one comparison of the emulator with queueing theory: one node with K cores and an
+// endless queue, called by its clients without an agent.
+type Queue struct {
+	K    int
+	Load float64       // of each core
+	Mean time.Duration // service
+	CV   float64       // of the service
+}
+
+// Queues are the comparisons that the lab's page gives.
+var Queues = []Queue{{1, 0.5, 20 * time.Millisecond, 0}, {1, 0.7, 20 * time.Millisecond, 1}, {2, 0.6, 30 * time.Millisecond, 0.5}, {4, 0.7, 30 * time.Millisecond, 1}}
+
+// Waits plays a comparison over some seeds in real time, on sockets, and writes the mean wait
+// that theory gives and the 95 % interval of what was measured. The error is a theory outside of
+// the interval, widened by what a loopback exchange takes without any wait (Base).
+func (q Queue) Waits(out io.Writer, seeds int, length time.Duration) error {
+	theory := world.MeanWait(q.K, q.Load, q.Mean.Seconds(), q.CV) * 1000
+	var waits []float64
+	for seed := range uint64(seeds) {
+		w, err := world.New(world.Config{Seed: seed + 1, Zones: []string{"z"}, Agents: []world.Agent{{Name: "a", Share: 1}}, Nodes: 1, CellSize: 1,
+			Models: []world.Model{{Kind: "k", Cores: q.K, Speed: 1, Slots: q.K, Queue: math.MaxInt}}, Shares: []float64{1},
+			Classes: []world.Class{{Name: "c", Share: 1, Work: q.Mean, WorkCV: q.CV, Aim: time.Minute, GiveUp: time.Minute, Worth: 1, Effect: "free"}},
+			Rate:    q.Load * float64(q.K) / q.Mean.Seconds(), Keys: 1, TryShare: 1, KeepAlive: time.Minute, Direct: true})
+		if err != nil {
+			return err
+		}
+		res := w.Run(length)
+		w.Close()
+		if len(res.Faults) > 0 {
+			return fmt.Errorf("the lab failed: %v", res.Faults)
+		}
+		waits = append(waits, res.Figures["sojourn mean ms"]-res.Figures["work mean ms"])
+	}
+	mean, sd := stat.MeanStdDev(waits, nil)
+	n := float64(len(waits))
+	half := distuv.StudentsT{Mu: 0, Sigma: 1, Nu: n - 1}.Quantile(0.975)*sd/math.Sqrt(n) + Base
+	verdict := "agrees"
+	if math.Abs(mean-theory) > half {
+		verdict = "DIFFERS"
+	}
+	fmt.Fprintf(out, "| M/G/%d, load %g, service %v, cv %g | %.2f | %.2f ± %.2f | %s |\n", q.K, q.Load, q.Mean, q.CV, theory, mean, half, verdict)
+	if verdict != "agrees" {
+		return fmt.Errorf("M/G/%d at load %g: a mean wait of %.2f ms, where theory has %.2f ms", q.K, q.Load, mean, theory)
+	}
+	return nil
+}
+
+// Base is what an exchange on loopback and the machine's timers add to a wait, in ms.
+const Base = 1.0
+
+// Rank compares arms by the mean of a figure over the seeds that all have in common, the best
+// first, and tells whether the order is the one that is expected; each step has to differ by
+// its paired interval.
+func Rank(out io.Writer, recs []*Record, figure string, want []string) error {
+	means := map[string]float64{}
+	for i, arm := range want {
+		var v []float64
+		for _, r := range recs {
+			if r.Arm == arm && r.Counts {
+				v = append(v, r.Figures()[figure])
+			}
+		}
+		if len(v) == 0 {
+			return fmt.Errorf("arm %q has no run that counts", arm)
+		}
+		means[arm] = stat.Mean(v, nil)
+		fmt.Fprintf(out, "| %s | %.4f |", arm, means[arm])
+		if i == 0 {
+			fmt.Fprintln(out)
+			continue
+		}
+		diffs, err := Compare(recs, want[i-1], arm)
+		if err != nil {
+			return err
+		}
+		for _, d := range diffs {
+			if d.Figure == figure {
+				fmt.Fprintf(out, " %+.4f ± %.4f against %s\n", d.Mean, d.Half, want[i-1])
+			}
+		}
+	}
+	got := slices.Clone(want)
+	slices.SortFunc(got, func(a, b string) int {
+		if means[a] > means[b] {
+			return -1
+		}
+		return 1
+	})
+	if !slices.Equal(got, want) {
+		return fmt.Errorf("the lab ranks %v, where %v is known", got, want)
+	}
+	return nil
+}
--- a/internal/switchboard/switchboard.go
+++ b/internal/switchboard/switchboard.go
@@ -79,15 +79,20 @@
 	b := &Board{seed: seed, members: map[string]*member{}, byIP: map[netip.Addr]*member{},
 		rules: map[[2]string]Rule{}, partitions: map[string]map[string]int{},
 		draws: map[[2]string]*rand.Rand{}, healed: make(chan struct{}), closed: make(chan struct{})}
-	// A board has its network as long as it holds this port there.
-	for n := 10; n < 250; n += 2 {
-		ln, err := net.Listen("tcp", fmt.Sprintf("127.%d.255.254:19999", n))
-		if err == nil {
-			b.net, b.hold = byte(n), ln
-			return b, nil
+	var err error
+	b.hold, b.net, err = Network()
+	return b, err
+}
+
+// Network takes a network of loopback addresses that no other board or world on this machine
+// has: 127.n and 127.n+1. It is the caller's until hold is closed.
+func Network() (hold net.Listener, n byte, err error) {
+	for n := byte(10); n < 250; n += 2 {
+		if hold, err := net.Listen("tcp", fmt.Sprintf("127.%d.255.254:19999", n)); err == nil {
+			return hold, n, nil
 		}
 	}
-	return nil, errors.New("switchboard: no network of loopback addresses is free")
+	return nil, 0, errors.New("switchboard: no network of loopback addresses is free")
 }
 
 // port is every process's own; addresses differ.
--- /dev/null
+++ b/internal/world/contract.go
@@ -0,0 +1,24 @@
+package world
+
+import "time"
+
+// Contract are the figures of the four rules (WIRE, "Operating rules"), and what a judge
+// allows beyond them for the sockets (PROTOCOL, "The rules on sockets").
+type Contract struct {
+	DrainGrace   time.Duration
+	ColdFrom     float64
+	ColdFor      time.Duration
+	FallMultiple float64
+	FallIn       time.Duration
+	AnswerSlack  time.Duration
+	Slack        time.Duration
+}
+
+// Cold is how many requests of mean work (in seconds of a standard core) a node of a model may
+// be sent between two ages: FallMultiple times its capacity on the slowest climb.
+func (c *Contract) Cold(m Model, from, to time.Duration, mean float64) float64 {
+	slowest := Model{ColdFrom: c.ColdFrom, ColdFor: c.ColdFor}
+	// The climb is even, so the middle's capacity is the mean of both ends'.
+	part := (slowest.capacity(from) + slowest.capacity(to)) / 2
+	return c.FallMultiple * part * (to - from).Seconds() * float64(m.Cores) * m.Speed / mean
+}
