--- a/internal/lab/draw.go
+++ b/internal/lab/draw.go
@@ -28,6 +28,10 @@
 			{At: part(s, 0.4), Kind: "kill agents", Share: 0.7, Back: secs(u(0.5, 1.5))},
 			{At: part(s, 0.1), Kind: "slow nodes", Share: 0.125, Size: u(2.4, 7.8), For: part(s, 0.6)}}
 	},
+	"join": func(s *Scenario, u func(lo, hi float64) float64) {
+		s.Troubles = []Trouble{{At: part(s, 0.2), Kind: "release", Share: 0.6, Batch: 0.2, Drain: secs(2), For: secs(7)},
+			{At: part(s, 0.1), Kind: "slow nodes", Share: 0.1, Size: u(2.4, 7.8), For: part(s, 0.5)}}
+	},
 	"zone": func(s *Scenario, u func(lo, hi float64) float64) {
 		s.Troubles = []Trouble{
 			{At: part(s, 0.25), Kind: "zone lost", Zone: s.Fleet.Zones[0], For: secs(5)},
--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -7,6 +7,7 @@
 	"math"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -101,6 +102,15 @@
 					t.Errorf("arm %q: %q, figures %v", r.Arm, r.AgentFault, r.Result.Figures)
 				}
 			}
+			for _, r := range recs {
+				all := func(v [2]int) bool { return v == [2]int{8, 8} }
+				if slices.ContainsFunc(r.Views, all) != (r.Arm == "fleet") {
+					t.Errorf("arm %q: views %v", r.Arm, r.Views)
+				}
+			}
+			if paths, err := Plot(recs, t.TempDir(), "svg"); err != nil || len(paths) != 3 {
+				t.Errorf("plots: %v, %v", paths, err)
+			}
 			if a, b := recs[0].Result.Figures["requests"], recs[1].Result.Figures["requests"]; a != b {
 				t.Errorf("one arm was asked %v, the other %v", a, b)
 			}
--- a/internal/lab/plot.go
+++ b/internal/lab/plot.go
@@ -14,7 +14,8 @@
 
 // Plot draws the records that count into a directory and gives the files' paths: service by
 // second (the part of the worth asked for that is served in time, mean over the seeds of each
-// arm), and for each arm the share of its cold bound that each node started in the run met.
+// arm), for each arm the share of its cold bound that each node started in the run met, and the
+// least view of those agents that were asked, by second.
 // Format is a file ending that gonum/plot knows, such as "svg" or "png".
 func Plot(recs []*Record, dir, format string) (files []string, err error) {
 	arms := Arms(recs)
@@ -25,7 +26,13 @@
 	cold := plot.New()
 	cold.Title.Text = "most load of cold nodes against their bound (1: falls over)"
 	cold.X.Label.Text, cold.Y.Label.Text = "node, by its load", "of its bound"
+	views := plot.New()
+	views.Title.Text = "least view of the agents that were asked"
+	views.X.Label.Text, views.Y.Label.Text = "second", "agents seen"
 	for i, arm := range arms {
+		if err := addViews(views, i, arm, recs); err != nil {
+			return nil, err
+		}
 		var lines, points plotter.XYs
 		sums := map[int]world.Second{}
 		var colds []float64
@@ -64,7 +71,7 @@
 			}
 		}
 	}
-	for name, p := range map[string]*plot.Plot{"service": service, "cold": cold} {
+	for name, p := range map[string]*plot.Plot{"service": service, "cold": cold, "views": views} {
 		path := filepath.Join(dir, name+"."+format)
 		if err := p.Save(18*vg.Centimeter, 9*vg.Centimeter, path); err != nil {
 			return files, fmt.Errorf("%s: %w", path, err)
@@ -74,6 +81,27 @@
 	return files, nil
 }
 
+// addViews draws, for each second, the mean over an arm's runs of the least view.
+func addViews(p *plot.Plot, i int, arm string, recs []*Record) error {
+	sums := map[int][2]float64{}
+	for _, r := range recs {
+		if r.Arm != arm || !r.Counts {
+			continue
+		}
+		for s, v := range r.Views {
+			sums[s] = [2]float64{sums[s][0] + float64(v[0]), sums[s][1] + 1}
+		}
+	}
+	var xys plotter.XYs
+	for s := range len(sums) {
+		xys = append(xys, plotter.XY{X: float64(s), Y: sums[s][0] / sums[s][1]})
+	}
+	if len(xys) == 0 {
+		return nil
+	}
+	return addLine(p, i, arm, xys)
+}
+
 func addLine(p *plot.Plot, i int, name string, xys plotter.XYs) error {
 	line, err := plotter.NewLine(xys)
 	if err != nil {
--- a/internal/lab/run.go
+++ b/internal/lab/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"debug/buildinfo"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -13,6 +14,7 @@
 	"os/exec"
 	"path/filepath"
 	"runtime"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -20,6 +22,7 @@
 	"time"
 
 	"clayproxy.example/clayproxy/internal/cluster"
+	"clayproxy.example/clayproxy/internal/fleet"
 	"clayproxy.example/clayproxy/internal/switchboard"
 	"clayproxy.example/clayproxy/internal/world"
 )
@@ -49,6 +52,9 @@
 	AgentsCPU  float64       `json:"agents_cpu_s"`
 	LabCPU     float64       `json:"lab_cpu_s"`
 	AgentFault string        `json:"agent_fault,omitempty"` // an agent that ended by itself
+	// Views are, for each second, how many agents the asked ones saw, at least and at most; empty
+	// without a fleet.
+	Views [][2]int `json:"views,omitempty"`
 }
 
 // Play plays all arms on all seeds, the arms of a seed in turn, another first on each seed.
@@ -102,7 +108,8 @@
 	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &lim); err != nil {
 		return err
 	}
-	fds := uint64(200 + s.Fleet.Nodes*len(s.Fleet.Zones)*2 + s.Fleet.Agents*(12+s.Fleet.Nodes*2))
+	// At most agents keep one connection to each node, and few more to their list and clients.
+	fds := uint64(200 + s.Fleet.Nodes*len(s.Fleet.Zones)*2 + s.Fleet.Agents*(8+s.Fleet.Nodes))
 	if fds > lim.Max {
 		return fmt.Errorf("%d agents and %d nodes take some %d descriptors, and %d are allowed", s.Fleet.Agents, s.Fleet.Nodes, fds, lim.Max)
 	}
@@ -195,9 +202,19 @@
 	if err := each(r.names, r.start); err != nil {
 		return nil, err
 	}
+	if r.board != nil { // joining is no part of the traffic's time
+		if err := cluster.Await(time.Minute, "all agents see each other", r.settled); err != nil {
+			return nil, err
+		}
+	}
 	var troubles sync.WaitGroup
 	faults := make(chan error, len(s.Troubles))
+	var changes []world.Change
 	for i, t := range s.Troubles {
+		if k := kinds[t.Kind]; k.traffic != nil {
+			changes = append(changes, k.traffic(t))
+			continue
+		}
 		// Each has draws of its own, so that what it meets does not hang on the others' times.
 		draw := rand.New(rand.NewPCG(seed, 100+uint64(i)))
 		troubles.Add(1)
@@ -209,8 +226,18 @@
 			}
 		}()
 	}
+	r.w.Changes(changes...)
 	stop := context.AfterFunc(ctx, func() { r.procs.Close() })
+	rec := &Record{Scenario: s.Name, Arm: a.Name, Seed: seed, Commit: revision(a.Commit, program, cfg.Repo), Machine: machine(), Length: s.Length}
+	if r.board != nil {
+		troubles.Add(1)
+		go func() {
+			defer troubles.Done()
+			rec.Views = r.views()
+		}()
+	}
 	res := r.w.Run(s.Length)
+	rec.Result = res
 	stop()
 	close(r.over)
 	troubles.Wait()
@@ -221,7 +248,6 @@
 	for err := range faults {
 		res.Faults = append(res.Faults, err.Error())
 	}
-	rec := &Record{Scenario: s.Name, Arm: a.Name, Seed: seed, Commit: a.Commit, Machine: machine(), Length: s.Length, Result: res}
 	for _, n := range r.names {
 		if !r.procs.Running(n) {
 			rec.AgentFault = n + " ended by itself"
@@ -233,6 +259,70 @@
 	return rec, nil
 }
 
+// revision is the commit of a program: the one it was built from here, what it says itself, or
+// that of the checkout.
+func revision(commit, program, repo string) string {
+	if commit != "" {
+		return commit
+	}
+	if info, err := buildinfo.ReadFile(program); err == nil {
+		for _, s := range info.Settings {
+			if s.Key == "vcs.revision" {
+				return s.Value[:min(len(s.Value), 12)]
+			}
+		}
+	}
+	if out, err := exec.Command("git", "-C", repo, "describe", "--always", "--dirty").Output(); err == nil && repo != "" {
+		return strings.TrimSpace(string(out))
+	}
+	return "unknown"
+}
+
+// asked is how many agents are asked for their views each second.
+const asked = 8
+
+// views asks some agents each second how many they see, until the run is over.
+func (r *run) views() (out [][2]int) {
+	every := time.NewTicker(time.Second)
+	defer every.Stop()
+	for {
+		select {
+		case <-every.C:
+		case <-r.over:
+			return out
+		}
+		seen := [2]int{}
+		for i := range min(asked, len(r.names)) {
+			n := r.sees(r.names[i*len(r.names)/asked%len(r.names)])
+			if n == 0 {
+				continue // it is down, or stands still
+			}
+			if seen[0] == 0 || n < seen[0] {
+				seen[0] = n
+			}
+			seen[1] = max(seen[1], n)
+		}
+		out = append(out, seen)
+	}
+}
+
+// sees is how many agents an agent sees now; 0: it does not say.
+func (r *run) sees(name string) int {
+	ctx, cancel := context.WithTimeout(context.Background(), 200*time.Millisecond)
+	defer cancel()
+	s, err := fleet.Ask(ctx, r.w.Address(r.index[name], world.ManagementPort), "members=none&since=4611686018427387904")
+	if err != nil {
+		return 0
+	}
+	return s.Present
+}
+
+// settled tells whether all agents see all.
+func (r *run) settled() bool {
+	time.Sleep(100 * time.Millisecond)
+	return !slices.ContainsFunc(r.names, func(n string) bool { return r.sees(n) != len(r.names) })
+}
+
 // cpu is the processor time of this process, or of its children that have ended, in seconds.
 func cpu(who int) float64 {
 	var u syscall.Rusage
--- a/internal/lab/scenario.go
+++ b/internal/lab/scenario.go
@@ -249,10 +249,12 @@
 	}
 	for _, t := range s.Troubles {
 		switch {
-		case kinds[t.Kind].play == nil:
+		case kinds[t.Kind].does == "":
 			return "trouble.kind", fmt.Errorf("there is no trouble %q", t.Kind)
 		case t.At < 0 || t.At > s.Length:
 			return "trouble.at", errors.New("is outside the length")
+		case t.Kind == "burst" && t.Size <= 0:
+			return "trouble.size", above
 		case t.Share < 0 || t.Share > 1:
 			return "trouble.share", part
 		case kinds[t.Kind].zone && !slices.Contains(s.Fleet.Zones, t.Zone):
--- a/internal/lab/trouble.go
+++ b/internal/lab/trouble.go
@@ -9,13 +9,16 @@
 	"time"
 
 	"clayproxy.example/clayproxy/internal/switchboard"
+	"clayproxy.example/clayproxy/internal/world"
 )
 
-// kind is one trouble: what it does with its keys, and whether it needs a zone.
+// kind is one trouble: what it does with its keys, whether it needs a zone, and how it is played
+// or, where it is one of the traffic, how that changes.
 type kind struct {
-	does string
-	zone bool
-	play func(r *run, t Trouble, draw *rand.Rand) error
+	does    string
+	zone    bool
+	traffic func(t Trouble) world.Change
+	play    func(r *run, t Trouble, draw *rand.Rand) error
 }
 
 // Kinds tells, for each trouble, what it does with its keys.
@@ -59,17 +62,11 @@
 		"zone cut": {zone: true, does: "a zone's nodes are cut off from the agents of other zones for a time", play: func(r *run, t Trouble, draw *rand.Rand) error {
 			return r.silent(t, r.zone(t.Zone), r.w.Nodes(r.zone(t.Zone)))
 		}},
-		"burst": {does: "traffic is size times as much for a time", play: func(r *run, t Trouble, draw *rand.Rand) error {
-			r.w.Burst(t.Size)
-			r.hold(t.For)
-			r.w.Burst(1)
-			return nil
+		"burst": {does: "traffic is size times as much for a time", traffic: func(t Trouble) world.Change {
+			return world.Change{From: t.At, To: t.At + t.For, Rate: t.Size}
 		}},
-		"hot key": {does: "a share of the requests has one key for a time", play: func(r *run, t Trouble, draw *rand.Rand) error {
-			r.w.Hot(t.Share)
-			r.hold(t.For)
-			r.w.Hot(0)
-			return nil
+		"hot key": {does: "a share of the requests has one key for a time", traffic: func(t Trouble) world.Change {
+			return world.Change{From: t.At, To: t.At + t.For, Rate: 1, Hot: t.Share}
 		}},
 		"list down": {does: "discovery is silent for a time", play: func(r *run, t Trouble, draw *rand.Rand) error {
 			r.w.ListDown(true)
--- a/internal/world/clients.go
+++ b/internal/world/clients.go
@@ -12,7 +12,6 @@
 	"os"
 	"slices"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -142,15 +141,15 @@
 	}
 	var due time.Duration
 	for n := 0; ; n++ {
-		rate := cfg.Rate * a.agent.Share * loadFloat(&a.c.w.burst)
-		due += time.Duration(draw.ExpFloat64() / rate * 1e9)
+		factor, hot := a.c.w.traffic(due)
+		due += time.Duration(draw.ExpFloat64() / (cfg.Rate * a.agent.Share * factor) * 1e9)
 		if due >= length {
 			return
 		}
 		class := pickShare(draw.Float64(), shares)
 		k := &cfg.Classes[class]
 		q := ask{due: began + due, class: class, key: 1 + uint64(keys.Rand()), work: drawWork(k, src), wait: k.Wait}
-		if draw.Float64() < loadFloat(&a.c.w.hot) {
+		if draw.Float64() < hot {
 			q.key = 1
 		}
 		select {
@@ -388,6 +387,3 @@
 		a.mu.Unlock()
 	}
 }
-
-func storeFloat(to *atomic.Uint64, f float64) { to.Store(math.Float64bits(f)) }
-func loadFloat(from *atomic.Uint64) float64   { return math.Float64frombits(from.Load()) }
--- a/internal/world/trouble.go
+++ b/internal/world/trouble.go
@@ -123,9 +123,28 @@
 	}
 }
 
-// Burst multiplies the rate of requests; Hot gives a part of them the hottest key.
-func (w *World) Burst(factor float64) { storeFloat(&w.burst, factor) }
-func (w *World) Hot(part float64)     { storeFloat(&w.hot, part) }
+// Change is a time of the traffic, from its begin on, in which Rate times as much is asked and a
+// part Hot of the requests has the hottest key.
+type Change struct {
+	From, To  time.Duration
+	Rate, Hot float64
+}
+
+// Changes sets how the traffic changes; it is for before Run, so that what is asked follows from
+// the seed alone.
+func (w *World) Changes(changes ...Change) { w.changes = changes }
+
+// traffic is the factor of the rate and the part with the hottest key at a time of the traffic.
+func (w *World) traffic(at time.Duration) (rate, hot float64) {
+	rate = 1
+	for _, c := range w.changes {
+		if at >= c.From && at < c.To {
+			rate *= c.Rate
+			hot = max(hot, c.Hot)
+		}
+	}
+	return rate, hot
+}
 
 // ListDown makes discovery silent, or ends that.
 func (w *World) ListDown(down bool) { w.list.setDown(down) }
--- a/internal/world/world.go
+++ b/internal/world/world.go
@@ -15,7 +15,6 @@
 	"net"
 	"net/http"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
@@ -81,8 +80,7 @@
 	down     map[string]bool                  // agents whose process the lab has ended
 	requests sync.Map                         // by id
 	clients  *clients
-	burst    atomic.Uint64 // float bits: factor of the rate
-	hot      atomic.Uint64 // float bits: part of the requests with the hottest key
+	changes  []Change
 	lateMu   sync.Mutex
 	late     *hdrhistogram.Histogram // of timers, in microseconds
 	closed   chan struct{}
@@ -95,7 +93,6 @@
 	}
 	w := &World{cfg: cfg, start: time.Now(), nodes: map[string]*backend{},
 		podKeys: map[int]map[string]time.Duration{}, down: map[string]bool{}, late: hdrhistogram.New(1, 60_000_000, 3), closed: make(chan struct{})}
-	storeFloat(&w.burst, 1)
 	var err error
 	if w.hold, w.net, err = switchboard.Network(); err != nil {
 		return nil, err
