--- a/internal/lab/compare.go
+++ b/internal/lab/compare.go
@@ -115,7 +115,10 @@
 	for _, arm := range arms[1:] {
 		diffs, err := Compare(recs, arms[0], arm)
 		if err != nil {
-			return err
+			fmt.Fprintf(out, "\nno intervals: %v\n", err)
+			single(out, recs, arms[0])
+			single(out, recs, arm)
+			continue
 		}
 		fmt.Fprintf(out, "\n| figure | %s | %s | difference, 95 %% over %d seeds | |\n| --- | --- | --- | --- | --- |\n", arms[0], arm, diffs[0].Pairs)
 		held := 0
@@ -130,22 +133,22 @@
 		fmt.Fprintf(out, "\nthe interval holds 0 for %d of %d figures\n", held, len(diffs))
 	}
 	if len(arms) == 1 {
-		single(out, recs)
+		single(out, recs, arms[0])
 	}
 	return nil
 }
 
 // single prints the figures of one arm over its runs that count.
-func single(out io.Writer, recs []*Record) {
+func single(out io.Writer, recs []*Record, arm string) {
 	by := map[string][]float64{}
 	for _, r := range recs {
-		if r.Counts {
+		if r.Counts && r.Arm == arm {
 			for f, v := range r.Figures() {
 				by[f] = append(by[f], v)
 			}
 		}
 	}
-	fmt.Fprintln(out, "\n| figure | runs | least | mean | most |\n| --- | --- | --- | --- | --- |")
+	fmt.Fprintln(out, "\n| "+arm+" | runs | least | mean | most |\n| --- | --- | --- | --- | --- |")
 	for _, f := range slices.Sorted(maps.Keys(by)) {
 		fmt.Fprintf(out, "| %s | %d | %.4g | %.4g | %.4g |\n", f, len(by[f]), slices.Min(by[f]), stat.Mean(by[f], nil), slices.Max(by[f]))
 	}
--- a/internal/lab/run.go
+++ b/internal/lab/run.go
@@ -227,7 +227,10 @@
 		}()
 	}
 	r.w.Changes(changes...)
-	stop := context.AfterFunc(ctx, func() { r.procs.Close() })
+	stop := context.AfterFunc(ctx, func() {
+		r.w.Stop()
+		r.procs.Close()
+	})
 	rec := &Record{Scenario: s.Name, Arm: a.Name, Seed: seed, Commit: revision(a.Commit, program, cfg.Repo), Machine: machine(), Length: s.Length}
 	if r.board != nil {
 		troubles.Add(1)
--- a/internal/world/world.go
+++ b/internal/world/world.go
@@ -84,6 +84,8 @@
 	lateMu   sync.Mutex
 	late     *hdrhistogram.Histogram // of timers, in microseconds
 	closed   chan struct{}
+	stopped  chan struct{} // closed when the traffic ends before its time
+	stop     sync.Once
 }
 
 // New opens the nodes and the lists; no application calls before Run.
@@ -92,7 +94,7 @@
 		return nil, err
 	}
 	w := &World{cfg: cfg, start: time.Now(), nodes: map[string]*backend{},
-		podKeys: map[int]map[string]time.Duration{}, down: map[string]bool{}, late: hdrhistogram.New(1, 60_000_000, 3), closed: make(chan struct{})}
+		podKeys: map[int]map[string]time.Duration{}, down: map[string]bool{}, late: hdrhistogram.New(1, 60_000_000, 3), closed: make(chan struct{}), stopped: make(chan struct{})}
 	var err error
 	if w.hold, w.net, err = switchboard.Network(); err != nil {
 		return nil, err
@@ -303,6 +305,7 @@
 
 // Close ends all.
 func (w *World) Close() {
+	w.Stop()
 	close(w.closed)
 	w.list.setDown(false)
 	for _, s := range w.lists {
