--- a/cmd/fernfleet/experiment.go
+++ b/cmd/fernfleet/experiment.go
@@ -10,12 +10,12 @@
 	"path/filepath"
 	"runtime"
 	"slices"
-	"strings"
 	"time"
 
 	"github.com/BurntSushi/toml"
 	"github.com/spf13/cobra"
 
+	"clayproxy.example/clayproxy/internal/cluster"
 	"clayproxy.example/clayproxy/internal/fleet"
 	"clayproxy.example/clayproxy/internal/fleetlab"
 )
@@ -119,8 +119,8 @@
 
 // run plays the plan's rounds and prints what they gave.
 func (p plan) run(ctx context.Context, out io.Writer, record string) error {
-	if need := p.Agents * 20; need > freeMB() {
-		return fmt.Errorf("%d agents take some %d MB, and %d MB are free", p.Agents, need, freeMB())
+	if need := p.Agents * 20; need > cluster.FreeMB() {
+		return fmt.Errorf("%d agents take some %d MB, and %d MB are free", p.Agents, need, cluster.FreeMB())
 	}
 	commit, _ := exec.Command("git", "rev-parse", "--short", "HEAD").Output()
 	j := &fleetlab.Journal{Commit: bytesLine(commit), Agents: p.Agents, Processors: runtime.NumCPU()}
@@ -202,19 +202,6 @@
 
 func bytesLine(b []byte) string { return string(b[:max(0, len(b)-1)]) }
 
-// freeMB is what this machine has of memory that is not in use, in MB (proc(5), meminfo).
-func freeMB() int {
-	text, err := os.ReadFile("/proc/meminfo")
-	if err != nil {
-		return 0
-	}
-	kb := 0
-	for line := range strings.Lines(string(text)) {
-		fmt.Sscanf(line, "MemAvailable: %d kB", &kb)
-	}
-	return kb >> 10
-}
-
 func (p plan) lab(seed uint64, alone func(int) bool) (*fleetlab.Lab, func(), error) {
 	dir, err := os.MkdirTemp(p.logs, "fernfleet")
 	if err != nil {
--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -13,6 +13,7 @@
 	"os/exec"
 	"path/filepath"
 	"slices"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -305,3 +306,34 @@
 	}
 	return nil
 }
+
+// Each does something for many processes at once, up to 64 at a time.
+func Each(names []string, do func(string) error) error {
+	var group sync.WaitGroup
+	errs := make([]error, len(names))
+	slots := make(chan struct{}, 64)
+	for i, n := range names {
+		group.Add(1)
+		slots <- struct{}{}
+		go func() {
+			defer group.Done()
+			errs[i] = do(n)
+			<-slots
+		}()
+	}
+	group.Wait()
+	return errors.Join(errs...)
+}
+
+// FreeMB is what this machine has of memory that is not in use, in MB (proc(5), meminfo).
+func FreeMB() int {
+	text, err := os.ReadFile("/proc/meminfo")
+	if err != nil {
+		return 0
+	}
+	kb := 0
+	for line := range strings.Lines(string(text)) {
+		fmt.Sscanf(line, "MemAvailable: %d kB", &kb)
+	}
+	return kb >> 10
+}
--- a/internal/fleetlab/cases.go
+++ b/internal/fleetlab/cases.go
@@ -438,7 +438,7 @@
 	if orderly {
 		end = func(n string) error { return l.Term(n) }
 	}
-	return l.each(names, func(n string) error { return errors.Join(end(n), l.Start(n)) })
+	return cluster.Each(names, func(n string) error { return errors.Join(end(n), l.Start(n)) })
 }
 
 // replayed lets a part of all packets come once more, up to a time later, while processes
--- a/internal/fleetlab/lab.go
+++ b/internal/fleetlab/lab.go
@@ -8,7 +8,6 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"io"
 	"maps"
@@ -183,37 +182,19 @@
 // Close ends every process, the board and the list.
 func (l *Lab) Close() {
 	if l.procs != nil {
-		l.each(l.procs.Names(), func(n string) error { return l.procs.Kill(n) })
+		cluster.Each(l.procs.Names(), func(n string) error { return l.procs.Kill(n) })
 	}
 	l.disc.Close()
 	l.Board.Close()
 }
 
-// each does something for many processes at once.
-func (l *Lab) each(names []string, do func(string) error) error {
-	var wg sync.WaitGroup
-	errs := make([]error, len(names))
-	slots := make(chan struct{}, 64)
-	for i, n := range names {
-		wg.Add(1)
-		slots <- struct{}{}
-		go func() {
-			defer wg.Done()
-			errs[i] = do(n)
-			<-slots
-		}()
-	}
-	wg.Wait()
-	return errors.Join(errs...)
-}
-
 // Start starts processes at once and waits until each has told its identity.
 func (l *Lab) Start(names ...string) error {
 	began := time.Now()
-	if err := l.each(names, func(n string) error { return l.procs.Start(n) }); err != nil {
+	if err := cluster.Each(names, func(n string) error { return l.procs.Start(n) }); err != nil {
 		return err
 	}
-	return l.each(names, func(n string) error {
+	return cluster.Each(names, func(n string) error {
 		if l.alone(n) {
 			return nil
 		}
@@ -254,7 +235,7 @@
 	for _, n := range names {
 		l.end(n, false)
 	}
-	return l.each(names, func(n string) error { return l.procs.Kill(n) })
+	return cluster.Each(names, func(n string) error { return l.procs.Kill(n) })
 }
 
 // Term sends SIGTERM to processes and waits for their ends.
@@ -263,7 +244,7 @@
 	for _, n := range names {
 		l.end(n, true)
 	}
-	return l.each(names, func(n string) error { return l.procs.Term(n) })
+	return cluster.Each(names, func(n string) error { return l.procs.Term(n) })
 }
 
 // Pause stands processes still for a time.
@@ -274,7 +255,7 @@
 		}
 	}
 	time.Sleep(d)
-	return l.each(names, func(n string) error { return l.procs.Resume(n) })
+	return cluster.Each(names, func(n string) error { return l.procs.Resume(n) })
 }
 
 // Starve gives processes a tenth of the time, in slices of 10 ms, for a time.
@@ -341,7 +322,7 @@
 func (l *Lab) collect(names []string) map[string]*fleet.Status {
 	var mu sync.Mutex
 	got := map[string]*fleet.Status{}
-	l.each(names, func(n string) error {
+	cluster.Each(names, func(n string) error {
 		l.mu.Lock()
 		var since uint64
 		for _, life := range l.lives {
--- a/internal/lab/run.go
+++ b/internal/lab/run.go
@@ -101,7 +101,7 @@
 	if need > cpus {
 		return fmt.Errorf("%d agents and %.0f requests a second take some %.1f processors, and %.0f are here", s.Fleet.Agents, s.rate(), need, cpus)
 	}
-	if mb, free := s.Fleet.Agents*14+s.Fleet.Nodes*4+200, freeMB(); mb > free {
+	if mb, free := s.Fleet.Agents*14+s.Fleet.Nodes*4+200, cluster.FreeMB(); mb > free {
 		return fmt.Errorf("%d agents and %d nodes take some %d MB, and %d MB are free", s.Fleet.Agents, s.Fleet.Nodes, mb, free)
 	}
 	var lim syscall.Rlimit
@@ -120,18 +120,6 @@
 	return nil
 }
 
-// freeMB is what this machine has of memory that is not in use, in MB (proc(5), meminfo).
-func freeMB() int {
-	text, err := os.ReadFile("/proc/meminfo")
-	kb := 0
-	if err == nil {
-		for line := range strings.Lines(string(text)) {
-			fmt.Sscanf(line, "MemAvailable: %d kB", &kb)
-		}
-	}
-	return kb >> 10
-}
-
 // program is the agent that a commit builds, or the one given.
 func (cfg *Config) program(commit string) (string, error) {
 	if commit == "" {
@@ -199,7 +187,7 @@
 		defer r.board.Close()
 	}
 	defer r.procs.Close()
-	if err := each(r.names, r.start); err != nil {
+	if err := cluster.Each(r.names, r.start); err != nil {
 		return nil, err
 	}
 	if r.board != nil { // joining is no part of the traffic's time
@@ -452,24 +440,6 @@
 	})
 }
 
-// each does something for many at once.
-func each(names []string, do func(string) error) error {
-	errs := make([]error, len(names))
-	var wg sync.WaitGroup
-	slots := make(chan struct{}, 32)
-	for i, n := range names {
-		wg.Add(1)
-		slots <- struct{}{}
-		go func() {
-			defer wg.Done()
-			errs[i] = do(n)
-			<-slots
-		}()
-	}
-	wg.Wait()
-	return errors.Join(errs...)
-}
-
 // Figures are a record's figures with what the processes took.
 func (rec *Record) Figures() map[string]float64 {
 	out := maps.Clone(rec.Result.Figures)
--- a/internal/lab/trouble.go
+++ b/internal/lab/trouble.go
@@ -8,6 +8,7 @@
 	"slices"
 	"time"
 
+	"clayproxy.example/clayproxy/internal/cluster"
 	"clayproxy.example/clayproxy/internal/switchboard"
 	"clayproxy.example/clayproxy/internal/world"
 )
@@ -127,11 +128,11 @@
 	for _, n := range names {
 		r.w.AgentEnded(n)
 	}
-	if err := each(names, r.procs.Kill); err != nil {
+	if err := cluster.Each(names, r.procs.Kill); err != nil {
 		return err
 	}
 	r.hold(t.Back)
-	return each(names, r.start)
+	return cluster.Each(names, r.start)
 }
 
 func (r *run) restartAgents(t Trouble, draw *rand.Rand) error {
@@ -140,7 +141,7 @@
 	pause := t.For / time.Duration((len(names)+size-1)/size)
 	for part := range slices.Chunk(names, size) {
 		began := time.Now()
-		if err := each(part, func(n string) error { return errors.Join(r.procs.Term(n), r.start(n)) }); err != nil {
+		if err := cluster.Each(part, func(n string) error { return errors.Join(r.procs.Term(n), r.start(n)) }); err != nil {
 			return err
 		}
 		r.hold(pause - time.Since(began))
@@ -150,11 +151,11 @@
 
 func (r *run) pauseAgents(t Trouble, draw *rand.Rand) error {
 	names := some(draw, r.names, t.Share)
-	if err := each(names, r.procs.Pause); err != nil {
+	if err := cluster.Each(names, r.procs.Pause); err != nil {
 		return err
 	}
 	r.hold(t.For)
-	return each(names, r.procs.Resume)
+	return cluster.Each(names, r.procs.Resume)
 }
 
 func (r *run) deafAgents(t Trouble, draw *rand.Rand) error {
