Lab: one shape for classes and models, one timer a change of the list; drop what is dead

Change: the tags stand on world's shapes, Model embeds; one timer at the time that keeps the order; AgentEnded. Behaviour is as it was; the test of scenarios now also reads models and classes of its own.

--- a/internal/lab/draw.go
+++ b/internal/lab/draw.go
@@ -12,8 +12,6 @@
 	"github.com/BurntSushi/toml"
 )
 
-func sorted(v []float64) []float64 { return slices.Sorted(slices.Values(v)) }
-
 // days are the kinds of scenarios that can be drawn: like the standing test's days, with sizes
 // drawn from the ranges that the operators tell.
 var days = map[string]func(s *Scenario, u func(lo, hi float64) float64){
--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -142,6 +142,10 @@
 			t.Error(err)
 		}
 	}
+	own, err := Parse("s.toml", "[[model]]\nshare = 1\nkind = \"k\"\ncores = 4\n[model.choke]\nover = \"2s\"\n[[class]]\nname = \"c\"\ngive_up = \"3s\"")
+	if err != nil || own.Models[0].Share != 1 || own.Models[0].Cores != 4 || own.Models[0].Choke.Over != 2*time.Second || own.Classes[0].GiveUp != 3*time.Second {
+		t.Errorf("own models and classes: %+v, %v", own, err)
+	}
 	s, _ := Parse("s.toml", "[fleet]\nagents = 50000\nnodes = 3000")
 	if err := s.fits(); err == nil || !strings.Contains(err.Error(), "take some") {
 		t.Errorf("a scenario for a larger machine: %v", err)
--- a/internal/lab/plot.go
+++ b/internal/lab/plot.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"path/filepath"
+	"slices"
 
 	"gonum.org/v1/plot"
 	"gonum.org/v1/plot/plotter"
@@ -57,7 +58,7 @@
 				lines = append(lines, plotter.XY{X: float64(s), Y: sums[s].InTime / sums[s].Asked})
 			}
 		}
-		for n, c := range sorted(colds) {
+		for n, c := range slices.Sorted(slices.Values(colds)) {
 			points = append(points, plotter.XY{X: float64(n), Y: c})
 		}
 		if len(lines) > 0 {
--- a/internal/lab/scenario.go
+++ b/internal/lab/scenario.go
@@ -32,7 +32,7 @@
 	Fleet    Fleet         `toml:"fleet"`
 	Traffic  Traffic       `toml:"traffic"`
 	Rules    Rules         `toml:"rules"`
-	Classes  []Class       `toml:"class"`
+	Classes  []world.Class `toml:"class"`
 	Models   []Model       `toml:"model"`
 	Troubles []Trouble     `toml:"trouble"`
 	Arms     []Arm         `toml:"arm"`
@@ -73,52 +73,10 @@
 	FallIn       time.Duration `toml:"fall_in"`
 }
 
-// Class is a class of requests (see world.Class).
-type Class struct {
-	Name      string        `toml:"name"`
-	Share     float64       `toml:"share"`
-	Work      time.Duration `toml:"work"`
-	WorkCV    float64       `toml:"work_cv"`
-	Wait      time.Duration `toml:"wait"`
-	Aim       time.Duration `toml:"aim"`
-	GiveUp    time.Duration `toml:"give_up"`
-	Worth     float64       `toml:"worth"`
-	LateWorth float64       `toml:"late_worth"`
-	Effect    string        `toml:"effect"`
-	Group     string        `toml:"group"`
-	KeyFor    time.Duration `toml:"key_for"`
-}
-
-// Model is a kind of node (see world.Model).
+// Model is a kind of node and the share of the nodes that are of it.
 type Model struct {
-	Kind      string        `toml:"kind"`
-	Share     float64       `toml:"share"`
-	Cores     int           `toml:"cores"`
-	Speed     float64       `toml:"speed"`
-	Slots     int           `toml:"slots"`
-	Queue     int           `toml:"queue"`
-	ColdFrom  float64       `toml:"cold_from"`
-	ColdFor   time.Duration `toml:"cold_for"`
-	Thrash    float64       `toml:"thrash"`
-	ThrashAt  float64       `toml:"thrash_at"`
-	Choke     Choke         `toml:"choke"`
-	KeyGain   float64       `toml:"key_gain"`
-	KeyFor    time.Duration `toml:"key_for"`
-	Keys      int           `toml:"keys"`
-	Conns     int           `toml:"conns"`
-	Handshake time.Duration `toml:"handshake"`
-	Probe     time.Duration `toml:"probe"`
-	ErrorRate float64       `toml:"error_rate"`
-}
-
-// Choke is how a node slows down when crowded (see world.Choke).
-type Choke struct {
-	At     float64       `toml:"at"`
-	Below  float64       `toml:"below"`
-	Over   time.Duration `toml:"over"`
-	Rest   time.Duration `toml:"rest"`
-	Most   time.Duration `toml:"most"`
-	Slower float64       `toml:"slower"`
+	Share float64 `toml:"share"`
+	world.Model
 }
 
 // Trouble is what happens at a time. What Kinds[Kind] says is how it uses the other keys.
@@ -154,8 +112,8 @@
 	}
 }
 
-func siteClasses() []Class {
-	return []Class{
+func siteClasses() []world.Class {
+	return []world.Class{
 		{Name: "cierre-valor", Share: 0.63, Work: 58 * time.Millisecond, WorkCV: 0.55, Wait: 120 * time.Millisecond, Aim: 750 * time.Millisecond,
 			GiveUp: 3 * time.Second, Worth: 10, LateWorth: 0.25, Effect: "single_shot"},
 		{Name: "registro-precio", Share: 0.37, Work: 57 * time.Millisecond, WorkCV: 0.45, Wait: 120 * time.Millisecond, Aim: 500 * time.Millisecond,
@@ -164,9 +122,9 @@
 }
 
 func siteModels() []Model {
-	m := Model{Cores: 2, Slots: 22, Queue: 5, Thrash: 0.18, ThrashAt: 18, KeyGain: 0.45, KeyFor: 6 * time.Second, Keys: 60, Conns: 1500,
+	m := Model{Model: world.Model{Cores: 2, Slots: 22, Queue: 5, Thrash: 0.18, ThrashAt: 18, KeyGain: 0.45, KeyFor: 6 * time.Second, Keys: 60, Conns: 1500,
 		Handshake: 4 * time.Millisecond, Probe: 42 * time.Microsecond,
-		Choke: Choke{At: 6, Below: 0.3, Over: 2 * time.Second, Rest: 3 * time.Second, Most: 25 * time.Second, Slower: 2.7}}
+		Choke: world.Choke{At: 6, Below: 0.3, Over: 2 * time.Second, Rest: 3 * time.Second, Most: 25 * time.Second, Slower: 2.7}}}
 	normal, slow := m, m
 	normal.Kind, normal.Share, normal.Speed, normal.ColdFrom, normal.ColdFor, normal.ErrorRate = "normal-2c", 0.59, 0.97, 0.25, 16*time.Second, 0.0015
 	slow.Kind, slow.Share, slow.Speed, slow.ColdFrom, slow.ColdFor = "lento-2c", 0.41, 0.6, 0.2, 17*time.Second
@@ -310,15 +268,9 @@
 	for i, share := range shares {
 		c.Agents = append(c.Agents, world.Agent{Name: fmt.Sprintf("a%03d", i), Zone: i % len(s.Fleet.Zones), Share: share / sum})
 	}
-	for _, k := range s.Classes {
-		c.Classes = append(c.Classes, world.Class(k))
-	}
+	c.Classes = s.Classes
 	for _, m := range s.Models {
-		c.Shares = append(c.Shares, m.Share)
-		c.Models = append(c.Models, world.Model{Kind: m.Kind, Cores: m.Cores, Speed: m.Speed, Slots: m.Slots, Queue: m.Queue, ColdFrom: m.ColdFrom,
-			ColdFor: m.ColdFor, Thrash: m.Thrash, ThrashAt: m.ThrashAt, KeyGain: m.KeyGain, KeyFor: m.KeyFor, Keys: m.Keys, Conns: m.Conns,
-			Handshake: m.Handshake, Probe: m.Probe, ErrorRate: m.ErrorRate,
-			Choke: world.Choke{At: m.Choke.At, Below: m.Choke.Below, Over: m.Choke.Over, Rest: m.Choke.Rest, Most: m.Choke.Most, Slower: m.Choke.Slower}})
+		c.Shares, c.Models = append(c.Shares, m.Share), append(c.Models, m.Model)
 	}
 	return c
 }
--- a/internal/world/backend.go
+++ b/internal/world/backend.go
@@ -147,7 +147,7 @@
 	}
 	req := b.w.request(id)
 	if req == nil || path.Base(r.URL.Path) != req.keyText() || r.Method != req.method() {
-		b.w.stray(b, r)
+		b.w.stray()
 		http.Error(rw, "no client sent this", http.StatusBadRequest)
 		return
 	}
--- a/internal/world/clients.go
+++ b/internal/world/clients.go
@@ -247,7 +247,7 @@
 	defer a.mu.Unlock()
 	for r := range a.open {
 		r.mu.Lock()
-		r.try.AgentDay = true
+		r.try.AgentEnded = true
 		r.mu.Unlock()
 	}
 }
@@ -267,7 +267,7 @@
 	r.mu.Lock()
 	r.try.Ended, r.try.How = w.Now(), how
 	if w.isDown(a.agent.Name) {
-		r.try.AgentDay = true
+		r.try.AgentEnded = true
 	}
 	r.mu.Unlock()
 	a.c.mu.Lock()
--- a/internal/world/contract.go
+++ b/internal/world/contract.go
@@ -10,7 +10,6 @@
 	ColdFor      time.Duration
 	FallMultiple float64
 	FallIn       time.Duration
-	AnswerSlack  time.Duration
 	Slack        time.Duration
 }
 
--- a/internal/world/engine.go
+++ b/internal/world/engine.go
@@ -7,32 +7,35 @@
 
 // Model is what a price node's machine is; a zero field is a thing that it does not have.
 type Model struct {
-	Kind      string
-	Cores     int
-	Speed     float64       // of a core, in standard cores
-	Slots     int           // requests served at a time, those that wait on others included
-	Queue     int           // requests that wait for a slot; more are turned away
-	ColdFrom  float64       // part of its capacity right after a start
-	ColdFor   time.Duration // until it has all, evenly
-	Thrash    float64       // part of its capacity lost at twice ThrashAt requests a core
-	ThrashAt  float64       // requests held a core from which on it loses any
-	Choke     Choke
-	KeyGain   float64       // part of the work that a key met lately spares
-	KeyFor    time.Duration // how long a key is remembered
-	Keys      int           // how many keys are, at the most
-	Conns     int           // connections; requests on more are turned away
-	Handshake time.Duration // work of a new connection, on a standard core
-	Probe     time.Duration // work of a probe
-	ErrorRate float64       // part of the requests that fail at once
+	Kind      string        `toml:"kind"`
+	Cores     int           `toml:"cores"`
+	Speed     float64       `toml:"speed"`     // of a core, in standard cores
+	Slots     int           `toml:"slots"`     // requests served at a time, those that wait on others included
+	Queue     int           `toml:"queue"`     // requests that wait for a slot; more are turned away
+	ColdFrom  float64       `toml:"cold_from"` // part of its capacity right after a start
+	ColdFor   time.Duration `toml:"cold_for"`  // until it has all, evenly
+	Thrash    float64       `toml:"thrash"`    // part of its capacity lost at twice ThrashAt requests a core
+	ThrashAt  float64       `toml:"thrash_at"` // requests held a core from which on it loses any
+	Choke     Choke         `toml:"choke"`
+	KeyGain   float64       `toml:"key_gain"`   // part of the work that a key met lately spares
+	KeyFor    time.Duration `toml:"key_for"`    // how long a key is remembered
+	Keys      int           `toml:"keys"`       // how many keys are, at the most
+	Conns     int           `toml:"conns"`      // connections; requests on more are turned away
+	Handshake time.Duration `toml:"handshake"`  // work of a new connection, on a standard core
+	Probe     time.Duration `toml:"probe"`      // work of a probe
+	ErrorRate float64       `toml:"error_rate"` // part of the requests that fail at once
 }
 
 // Choke is how a node slows down that has held too much for too long: with more than At
 // requests a core for Over, it is Slower times slower until it has held less than Below a core
 // for Rest, or for Most.
 type Choke struct {
-	At, Below        float64
-	Over, Rest, Most time.Duration
-	Slower           float64
+	At     float64       `toml:"at"`
+	Below  float64       `toml:"below"`
+	Over   time.Duration `toml:"over"`
+	Rest   time.Duration `toml:"rest"`
+	Most   time.Duration `toml:"most"`
+	Slower float64       `toml:"slower"`
 }
 
 // work is one request in a node: processor time first, then a wait on others.
--- a/internal/world/history.go
+++ b/internal/world/history.go
@@ -43,17 +43,17 @@
 
 // Try is one request of a client to its agent: its first, or a retry with an id of its own.
 type Try struct {
-	ID       string
-	Agent    string
-	Class    int
-	Key      uint64
-	Nth      int           // 0: the first
-	Sent     time.Duration // its first byte
-	Within   time.Duration // how long the client waits from then on
-	Ended    time.Duration
-	How      string
-	AgentDay bool // the agent's process was ended by the lab meanwhile
-	Attempts []Attempt
+	ID         string
+	Agent      string
+	Class      int
+	Key        uint64
+	Nth        int           // 0: the first
+	Sent       time.Duration // its first byte
+	Within     time.Duration // how long the client waits from then on
+	Ended      time.Duration
+	How        string
+	AgentEnded bool // the agent's process was ended by the lab meanwhile
+	Attempts   []Attempt
 }
 
 // Told is when an agent had been told of a node's state.
@@ -104,18 +104,18 @@
 
 // Class is a class of requests as the rules know it.
 type Class struct {
-	Name      string
-	Share     float64 // of the requests
-	Work      time.Duration
-	WorkCV    float64 // coefficient of variation of the work; 0: fixed
-	Wait      time.Duration
-	Aim       time.Duration
-	GiveUp    time.Duration
-	Worth     float64
-	LateWorth float64
-	Effect    string        // "free", "guarded" or "single_shot"
-	Group     string        // of guarded: "all", "zone" or "cell"
-	KeyFor    time.Duration // of guarded
+	Name      string        `toml:"name"`
+	Share     float64       `toml:"share"` // of the requests
+	Work      time.Duration `toml:"work"`
+	WorkCV    float64       `toml:"work_cv"` // coefficient of variation of the work; 0: fixed
+	Wait      time.Duration `toml:"wait"`
+	Aim       time.Duration `toml:"aim"`
+	GiveUp    time.Duration `toml:"give_up"`
+	Worth     float64       `toml:"worth"`
+	LateWorth float64       `toml:"late_worth"`
+	Effect    string        `toml:"effect"`  // "free", "guarded" or "single_shot"
+	Group     string        `toml:"group"`   // of guarded: "all", "zone" or "cell"
+	KeyFor    time.Duration `toml:"key_for"` // of guarded
 }
 
 // Judge decides from a whole history which of the four rules were broken.
@@ -132,7 +132,7 @@
 			found = append(found, Violation{rule, fmt.Sprintf(what, args...), t})
 		}
 		switch {
-		case t.How == Lost && !t.AgentDay:
+		case t.How == Lost && !t.AgentEnded:
 			broken("lost", "no whole answer")
 		case t.How == Forged:
 			broken("lost", "an answer that no node made")
--- a/internal/world/list.go
+++ b/internal/world/list.go
@@ -83,7 +83,7 @@
 		if delay == 0 {
 			l.flush(v)
 		} else {
-			time.AfterFunc(delay, func() {
+			time.AfterFunc(at-l.w.Now(), func() {
 				l.mu.Lock()
 				defer l.mu.Unlock()
 				l.flush(v)
@@ -109,13 +109,6 @@
 		close(v.wake)
 		v.wake = make(chan struct{})
 	}
-	if l.up == nil && len(v.pending) > 0 {
-		time.AfterFunc(v.pending[0].at-now, func() {
-			l.mu.Lock()
-			defer l.mu.Unlock()
-			l.flush(v)
-		})
-	}
 }
 
 // setDown makes discovery silent, or ends that.
--- a/internal/world/world.go
+++ b/internal/world/world.go
@@ -223,7 +223,7 @@
 }
 
 // stray is a request at a node that no client sent.
-func (w *World) stray(b *backend, r *http.Request) {
+func (w *World) stray() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.strays++
--- a/internal/world/world_test.go
+++ b/internal/world/world_test.go
@@ -123,7 +123,7 @@
 					{Node: "x", Arrived: 10 * ms, Ended: 12 * ms, How: TurnedAway}, {Node: "y", Arrived: 20 * ms, Ended: 90 * ms, How: Served}}},
 				{Agent: "a", Class: 1, How: Served, Attempts: []Attempt{
 					{Node: "x", Cell: 1, Began: 10 * ms, Arrived: 10 * ms, Ended: 200 * ms, How: Error}, {Node: "y", Cell: 1, Arrived: 220 * ms, Ended: 400 * ms, How: Served}}},
-				{Agent: "b", Class: 0, How: Lost, AgentDay: true, Attempts: []Attempt{{Node: "x", Arrived: 10 * ms, How: Open}}},
+				{Agent: "b", Class: 0, How: Lost, AgentEnded: true, Attempts: []Attempt{{Node: "x", Arrived: 10 * ms, How: Open}}},
 				{Agent: "a", Class: 0, How: Refused, Attempts: []Attempt{{Node: "z", Began: 1340 * ms, Arrived: 1340 * ms, Ended: 1345 * ms, How: TurnedAway}}},
 				{Agent: "a", Class: 2, How: Refused, Attempts: []Attempt{{Node: "x", Arrived: 10 * ms, Ended: 20 * ms, How: Error}}},
 			},
@@ -138,7 +138,7 @@
 		rule string
 		seed func(h *History)
 	}{
-		"lost":                    {"lost", func(h *History) { h.Tries[2].AgentDay = false }},
+		"lost":                    {"lost", func(h *History) { h.Tries[2].AgentEnded = false }},
 		"forged":                  {"lost", func(h *History) { h.Tries[0].How = Forged }},
 		"runs twice":              {"duplicate", func(h *History) { h.Tries[0].Attempts[0].How = Broken }},
 		"two at once":             {"duplicate", func(h *History) { h.Tries[0].Attempts[0].Ended = 80 * ms }},
