Know what discovery has within 6 s of a silence or failure; count versions by address

Causes, in discovery.go: a call stood for watchWait 10 s and 2 s of grace before its silence was noticed, and where lists are asked for the module then waited up to half of askWithinMs, 5 s (validate.go, follow), 17 s in all. A watch that failed went out again on a connection that idled beside it (a fetch's), which may be as silent. After a move a failed first call brought back the old address's version, and the next watch asked the new one from there. A version that goes back was followed from there but its changes dropped in loop.onList until it had passed the old one. '{}', 'null' and a whole list without servers passed for lists.

Change: a call stands 1 s, with 1.25 s of grace; the next one comes within 1 s, or 2.5 s where the module asks (callMost); after a failed call nothing that idles is used; versions belong to an address; an answer from the past is a failed call, after which all there is is asked for and believed; what is no list is a failed call.

--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -441,11 +441,11 @@
 		fmt.Fprint(w, `{"version":1,"full":false,"servers":[]}`)
 	}))
 	defer busy.Close()
-	d := newDiscovery(busy.Listener.Addr().String(), func(*List, bool, error) {})
+	d := newDiscovery(busy.Listener.Addr().String(), 1, func(news) {})
 	ctx, cancel := context.WithTimeout(t.Context(), 500*time.Millisecond)
 	defer cancel()
 	from := time.Now()
-	d.watch(ctx, 1)
+	d.watch(ctx)
 	most := callBurst + int64(callsPerS*time.Since(from).Seconds()) + 1
 	if n := calls.Load(); n < 2 || n > most {
 		t.Errorf("%d calls, want 2 to %d", n, most)
@@ -460,12 +460,15 @@
 		defer close(done)
 		drains := target("s-1", "127.0.0.1:1")
 		drains.State = "draining"
-		l.onList(&List{Version: 9, Servers: []Target{drains}}, true, nil)
-		l.onList(&List{Version: 8, Full: true, Servers: []Target{target("s-1", "127.0.0.1:1")}}, false, nil)
+		at := l.disc.at()
+		up := []Target{target("s-1", "127.0.0.1:1")}
+		l.onList(news{from: at, watch: true, list: &List{Version: 9, Servers: []Target{drains}}})
+		l.onList(news{from: at, list: &List{Version: 8, Full: true, Servers: up}})
+		l.onList(news{from: at, watch: true, list: &List{Version: 8, Full: true, Servers: up}})
 		if !l.table.byID["s-1"].closed.Load() {
 			t.Error("an older list took back a drain")
 		}
-		l.onList(&List{Version: 10, Full: true}, true, nil)
+		l.onList(news{from: at, watch: true, list: &List{Version: 10, Full: true}})
 		if len(l.table.byID) != 0 || len(l.table.byAddr) != 0 {
 			t.Error("a backend that is gone is kept")
 		}
--- a/internal/agent/discovery.go
+++ b/internal/agent/discovery.go
@@ -24,20 +24,21 @@
 	Target = targets.Target
 )
 
+// What discovery has to tell counts as told 6 s after it had it and could be reached, whatever
+// failed. A call that stands when discovery falls silent is given up after watchWait + callGrace,
+// 2.25 s; the next one follows within followMost, or 2.5 s where the module asks, and has the rest.
 const (
-	// watchWait is how long one call of a watch may stand. Longer ones would only
-	// find out later that discovery has gone silent.
-	watchWait = 10 * time.Second
+	// watchWait is how long one call of a watch may stand.
+	watchWait = time.Second
 	// callGrace is what a call may take beyond the wait: discovery gives up calls
 	// that stood in its queue for a second.
-	callGrace = 2 * time.Second
+	callGrace = 1250 * time.Millisecond
 	// callsPerS and callBurst bound the calls: a discovery that answers watches at
 	// once must not be asked in a tight loop. A watch outlives the gap.
 	callsPerS, callBurst = 10, 10
 	// followFirst and followMost bound the wait, doubled at each failure and jittered,
-	// before a watch that the agent keeps by itself is opened anew: what discovery has to
-	// tell counts as told 6 s later at the latest.
-	followFirst, followMost = 100 * time.Millisecond, 2 * time.Second
+	// before a watch that the agent keeps by itself is opened anew.
+	followFirst, followMost = 100 * time.Millisecond, time.Second
 	// maxList bounds an answer of discovery.
 	maxList = 8 << 20
 )
@@ -52,8 +53,18 @@
 	place  *place
 	client *http.Client
 	limit  *rate.Limiter
-	// told is called with each answer; a nil list is a failure.
-	told func(l *List, watch bool, err error)
+	told   func(news)
+}
+
+// news is what one call brought; a nil list is a failure.
+type news struct {
+	from  *place
+	list  *List
+	watch bool
+	// anew tells that all there is was asked for, and not what has changed: the answer's
+	// version counts whatever was known before.
+	anew bool
+	err  error
 }
 
 // place is one address of discovery; left is done once there is another.
@@ -61,20 +72,28 @@
 	url   string
 	left  context.Context
 	leave context.CancelFunc
+	// version is what its watch has reached, by its own count; 0: all is still to be asked for.
+	// It belongs to the watch, of which there is one at a time.
+	version uint64
 }
 
-// errMoved ends a call to an address that discovery has left.
-var errMoved = errors.New("discovery has moved")
+// errMoved ends a call to an address that discovery has left, errPast one whose answer is older
+// than what was asked from.
+var (
+	errMoved = errors.New("discovery has moved")
+	errPast  = errors.New("discovery: answered with a version from the past")
+)
 
-func newPlace(addr string) *place {
+func newPlace(addr string, version uint64) *place {
 	left, leave := context.WithCancel(context.Background())
-	return &place{url: "http://" + addr + "/api/targets", left: left, leave: leave}
+	return &place{url: "http://" + addr + "/api/targets", left: left, leave: leave, version: version}
 }
 
-func newDiscovery(addr string, told func(*List, bool, error)) *discovery {
+// newDiscovery makes the calls to addr, where version is known already.
+func newDiscovery(addr string, version uint64, told func(news)) *discovery {
 	dialer := net.Dialer{Timeout: callGrace}
 	return &discovery{
-		place: newPlace(addr),
+		place: newPlace(addr, version),
 		client: &http.Client{Transport: &http.Transport{
 			DialContext: dialer.DialContext, MaxIdleConnsPerHost: 2, MaxConnsPerHost: 4,
 			IdleConnTimeout: time.Minute, DisableCompression: true,
@@ -85,11 +104,12 @@
 }
 
 // move takes discovery to be at another address: calls that are out are made again
-// there. The old address closes what stays open, so nothing is kept.
+// there, and it is asked for all it has, as it may count versions of its own. The old
+// address closes what stays open, so nothing is kept.
 func (d *discovery) move(addr string) {
 	d.mu.Lock()
 	old := d.place
-	d.place = newPlace(addr)
+	d.place = newPlace(addr, 0)
 	d.mu.Unlock()
 	old.leave()
 	d.client.CloseIdleConnections()
@@ -101,11 +121,10 @@
 	return d.place
 }
 
-// follow keeps a watch from version on until ctx ends.
-func (d *discovery) follow(ctx context.Context, version uint64) {
+// follow keeps a watch until ctx ends.
+func (d *discovery) follow(ctx context.Context) {
 	for wait := followFirst; ctx.Err() == nil; wait = min(2*wait, followMost) {
-		reached, answered := d.watch(ctx, version)
-		if version = reached; answered {
+		if answered := d.watch(ctx); answered {
 			wait = followFirst
 		}
 		select {
@@ -115,72 +134,79 @@
 	}
 }
 
-// watch follows the changes from version on, until a call fails or ctx ends, and
-// returns the version it reached and whether any call was answered. The next call
-// goes out before the last answer is even handed on: a watch lives for 200 ms
-// without one, and a new watch loads discovery.
-func (d *discovery) watch(ctx context.Context, version uint64) (reached uint64, answered bool) {
-	type result struct {
-		list *List
-		err  error
-	}
-	call := func(from uint64) chan result {
-		done := make(chan result, 1)
+// watch follows the changes, until a call fails or ctx ends, and tells whether any call
+// was answered. The next call goes out before the last answer is even handed on: a
+// watch lives for 200 ms without one, and a new watch loads discovery.
+func (d *discovery) watch(ctx context.Context) (answered bool) {
+	call := func() chan news {
+		at, done := d.at(), make(chan news, 1)
+		from := at.version
 		go func() {
-			l, err := d.get(ctx, fmt.Sprintf("?index=%d&wait=%d", from, watchWait.Milliseconds()),
+			l, err := d.get(ctx, at, fmt.Sprintf("?index=%d&wait=%d", from, watchWait.Milliseconds()),
 				watchWait+callGrace)
-			done <- result{l, err}
+			if err == nil && l.Version < from {
+				l, err = nil, errPast
+			}
+			done <- news{from: at, list: l, watch: true, anew: from == 0, err: err}
 		}()
 		return done
 	}
-	next := call(version)
-	for first := true; ; first = false {
-		r := <-next
-		if errors.Is(r.err, errMoved) {
-			// The new place is asked for all it has: it may count versions of its own.
-			next = call(0)
+	for next := call(); ; {
+		n := <-next
+		switch {
+		case errors.Is(n.err, errMoved):
+			next = call()
 			continue
+		case ctx.Err() != nil:
+			return answered
+		case errors.Is(n.err, errPast):
+			// Started again from less, perhaps: the next watch asks for all it has.
+			n.from.version = 0
 		}
-		if ctx.Err() != nil {
-			return version, !first
-		}
-		if r.err != nil {
-			d.told(nil, true, r.err)
-			return version, !first
+		if n.err != nil {
+			d.told(n)
+			return answered
 		}
-		version = r.list.Version
-		next = call(version)
+		n.from.version = n.list.Version
+		next = call()
 		// An empty answer says nothing, but the first is the answer to the call.
-		if first || r.list.Full || len(r.list.Servers) > 0 {
-			d.told(r.list, true, nil)
+		if !answered || n.anew || n.list.Full || len(n.list.Servers) > 0 {
+			d.told(n)
 		}
+		answered = true
 	}
 }
 
 // fetch asks for the whole list once.
 func (d *discovery) fetch(ctx context.Context) {
-	l, err := d.get(ctx, "", 2*callGrace)
+	at := d.at()
+	l, err := d.get(ctx, at, "", 2*callGrace)
 	if errors.Is(err, errMoved) {
-		l, err = d.get(ctx, "", 2*callGrace)
+		at = d.at()
+		l, err = d.get(ctx, at, "", 2*callGrace)
 	}
 	if ctx.Err() == nil {
-		d.told(l, false, err)
+		d.told(news{from: at, list: l, err: err})
 	}
 }
 
-func (d *discovery) get(ctx context.Context, query string, within time.Duration) (*List, error) {
+func (d *discovery) get(ctx context.Context, at *place, query string, within time.Duration) (*List, error) {
 	if err := d.limit.Wait(ctx); err != nil {
 		return nil, fmt.Errorf("discovery: %w", err)
 	}
 	ctx, cancel := context.WithTimeout(ctx, within)
 	defer cancel()
-	at := d.at()
 	defer context.AfterFunc(at.left, cancel)()
 	l, err := d.call(ctx, at.url+query)
-	if err != nil && at.left.Err() != nil {
+	if err == nil {
+		return l, nil
+	}
+	// Another connection that idles may have fallen silent with this one: the next call opens its own.
+	d.client.CloseIdleConnections()
+	if at.left.Err() != nil {
 		return nil, errMoved
 	}
-	return l, err
+	return nil, err
 }
 
 // call makes one call and reads the list that it brings.
@@ -201,11 +227,19 @@
 	if resp.StatusCode != http.StatusOK {
 		return nil, fmt.Errorf("discovery: answered %d", resp.StatusCode)
 	}
-	var l List
+	// What is no list must not pass for one that names no servers.
+	var l struct {
+		Version *uint64
+		Full    bool
+		Servers []Target
+	}
 	if err := json.Unmarshal(text, &l); err != nil {
 		return nil, fmt.Errorf("discovery: %w", err)
 	}
-	return &l, nil
+	if l.Version == nil || l.Full && l.Servers == nil {
+		return nil, errors.New("discovery: answered with no list")
+	}
+	return &List{Version: *l.Version, Full: l.Full, Servers: l.Servers}, nil
 }
 
 // table holds the backends that discovery listed, by id and by the module's
--- a/internal/agent/loop.go
+++ b/internal/agent/loop.go
@@ -56,6 +56,7 @@
 	pending  []events.Event
 	actions  []events.Action
 	version  uint64 // of the list
+	source   *place // whose count that is
 	watching bool
 	fetching bool
 	ready    func()
@@ -149,9 +150,8 @@
 		started: now, baseMs: float64(now.UnixMicro()) / 1000,
 		requests: map[events.RequestID]*request{}, ready: ready,
 		figures: figures{ends: map[events.Status]int{}, probes: map[events.Status]int{}}}
-	l.disc = newDiscovery(cfg.Discovery, func(list *List, watch bool, err error) {
-		l.post(func() { l.onList(list, watch, err) })
-	})
+	l.disc = newDiscovery(cfg.Discovery, cfg.Known.Version, func(n news) { l.post(func() { l.onList(n) }) })
+	l.source = l.disc.at()
 	return l, nil
 }
 
@@ -175,7 +175,7 @@
 	}
 	if l.pushed() {
 		l.watching = true
-		go l.disc.follow(l.ctx, l.version)
+		go l.disc.follow(l.ctx)
 	}
 	sweep := time.NewTicker(sweepEvery)
 	defer sweep.Stop()
@@ -245,7 +245,7 @@
 		case events.ActFollow:
 			if !l.watching { // one watch is enough; it tells what another would
 				l.watching = true
-				go l.disc.watch(l.ctx, l.version)
+				go l.disc.watch(l.ctx)
 			}
 		case events.ActFetch:
 			if !l.fetching {
@@ -570,30 +570,37 @@
 	l.disc.move(cfg.Discovery)
 }
 
-// onList takes an answer of discovery. A watch and a fetch may cross: what is
-// older than the list at hand is dropped, but for a whole list on the watch,
-// which is how a discovery that started again from nothing says so.
-func (l *loop) onList(list *List, watch bool, err error) {
-	if !watch {
+// onList takes an answer of discovery. A watch and a fetch may cross: what is older than
+// the list at hand is dropped, unless all there is was asked for, as after a move. The address
+// that was left counts until the new one has answered.
+func (l *loop) onList(n news) {
+	if !n.watch {
 		l.fetching = false
 	}
-	if err != nil {
+	if n.err != nil {
 		l.figures.unlisted++
-		l.log(slog.LevelWarn, "discovery call failed", "watch", watch, "err", err)
-		if watch && l.pushed() {
+		l.log(slog.LevelWarn, "discovery call failed", "watch", n.watch, "err", n.err)
+		if n.watch && l.pushed() {
 			return // the module did not ask for the watch, which goes on by itself
 		}
-		if watch {
+		if n.watch {
 			l.watching = false
 		}
 		l.handle(&events.Event{Kind: events.EvList, List: events.ListFailed})
 		return
 	}
+	list := n.list
 	l.figures.lists++
 	l.figures.lines += len(list.Servers)
-	l.log(slog.LevelInfo, "list", "watch", watch, "full", list.Full, "from", l.version, "to", list.Version,
+	l.log(slog.LevelInfo, "list", "watch", n.watch, "full", list.Full, "from", l.version, "to", list.Version,
 		"lines", len(list.Servers))
-	if list.Version < l.version && !(watch && list.Full) {
+	if n.from != l.source {
+		if n.from != l.disc.at() {
+			return // the new address has answered already
+		}
+		l.source, n.anew = n.from, true
+	}
+	if list.Version < l.version && !n.anew {
 		return
 	}
 	kind := events.ListDelta
--- a/internal/policytest/scenario_test.go
+++ b/internal/policytest/scenario_test.go
@@ -260,6 +260,30 @@
 	}
 }
 
+// What discovery has counts as told 6 s after it could be asked. A call that falls silent is given
+// up after 2.25 s; whatever failed before, and of however many agents, the next one leaves a second
+// of what remains to its answer.
+func TestAFailedCallForTheListIsRepeatedInTime(t *testing.T) {
+	set := testSettings()
+	set.Membership, set.Replicas, set.Contract.AskWithinMs = "on_request", 300, 10000
+	most := 0.0
+	for seed := range uint64(50) {
+		b, err := policy.New(set, seed)
+		if err != nil {
+			t.Fatal(err)
+		}
+		call := find(b.Start(0, nil), ActTimer)
+		for range 8 {
+			b.Handle(0, &Event{Kind: EvTimer, Token: call.Token}, nil)
+			call = find(b.Handle(0, &Event{Kind: EvList, List: ListFailed}, nil), ActTimer)
+			most = max(most, call.Ms)
+		}
+	}
+	if most > 6000-2250-1000 || most < 1000 {
+		t.Errorf("a failed call is repeated after %.0f ms at the most", most)
+	}
+}
+
 func TestSettingsThatMakeNoSense(t *testing.T) {
 	for key, spoil := range map[string]func(*Settings){
 		"classes":             func(s *Settings) { s.Classes = nil },
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -69,8 +69,9 @@
 	// coldMargin is what an even share may cost a cold server, in its present capacity: the
 	// warm ones save up to three quarters of the work by the keys they know.
 	coldMargin = 4.0
-	// callGap is the time in ms that each agent's call for the list takes of the spread.
-	callGap = 50.0
+	// callGap is the time in ms that each agent's call for the list takes of the spread, callMost the
+	// most of that: given up after 2.25 s, a silent call's news counts as told 6 s after its start.
+	callGap, callMost = 50.0, 2500.0
 	// probeCap bounds the probes under way, probeShare those for each request.
 	probeCap, probeShare = 2, 0.1
 
--- a/policy/validate.go
+++ b/policy/validate.go
@@ -85,7 +85,7 @@
 		return
 	}
 	b.calling = true
-	most := b.set.Contract.AskWithinMs / 2
+	most := min(b.set.Contract.AskWithinMs/2, callMost)
 	spread := callGap * float64(b.set.Replicas) * math.Pow(2, float64(b.follows))
 	b.do(Action{Kind: ActTimer, Ms: b.rng.Float64() * min(max(spread, 2*b.aimMin), most), Token: followToken})
 }
