Begin no attempt once its client has left, whoever has noticed

Suspected from reading, confirmed by tests over sockets that fail on the program before (all five did): - front.ServeHTTP tells the loop of a client's leaving through the inbox; an attempt's end that lay there first had the module send again (loop.send), 2 attempts where 1 was allowed. - An attempt's context came from the loop's (loop.send), so a connect that came up late carried the request of a client that had left while the loop was held up. - The http server looks for a client's end by reading one byte. A client that had sent a further byte (or more), or whose long body nobody read while it waited for room, was not seen to leave, and was sent on.

Change: a request's context ends with its client (front.read; BaseContext is the loop's), and the attempt's is its child; loop.send looks at it first; and before the first byte is written the client's socket is polled for its end (clientConn.gone, backend.over), which also sees one behind unread bytes. Ruled out: that a half-closed client is owed an answer (the http server has always taken it as left).

--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -314,7 +314,7 @@
 		t.Fatal(err)
 	}
 	// A request that the module was never told of stands for one that it forgot.
-	c := &call{rules: orderRules, deadline: time.Now().Add(time.Second), answer: make(chan answer, 1)}
+	c := &call{ctx: t.Context(), rules: orderRules, deadline: time.Now().Add(time.Second), answer: make(chan answer, 1)}
 	r := &request{id: 1, call: c}
 	l.requests[1], l.open = r, 1
 	l.late(r)
@@ -350,13 +350,13 @@
 		{"fourth attempt", request{attempts: make([]*attempt, 4)}, up(), now.Add(time.Second), false},
 		{"no time", request{}, up(), now, false},
 	} {
-		test.r.call = &call{rules: orderRules}
+		test.r.call = &call{ctx: t.Context(), rules: orderRules}
 		if why := l.forbidden(&test.r, test.b, now, test.until); (why == "") != test.want {
 			t.Errorf("%s: %q", test.name, why)
 		}
 	}
 	// A refusal after an attempt that may have run is turned into a failure.
-	c := &call{rules: orderRules, answer: make(chan answer, 1)}
+	c := &call{ctx: t.Context(), rules: orderRules, answer: make(chan answer, 1)}
 	done := make(chan bool)
 	l.post(func() { l.refuse(&request{id: 1 << 30, call: c, mayRun: 1}, 1); close(done) })
 	<-done
--- a/internal/agent/backend.go
+++ b/internal/agent/backend.go
@@ -80,6 +80,8 @@
 		time.Since(c.made).Milliseconds(), c.idled.Milliseconds())
 }
 
+var errGone = errors.New("client left")
+
 var errTooMany = errors.New("no descriptor left for a connection")
 
 func newPool(c *Config) *pool {
@@ -115,6 +117,8 @@
 type message struct {
 	// request is made for the time that is left.
 	request func(left time.Duration) *http.Request
+	// gone tells whether who sent it has left; nil: it can't be told.
+	gone func() bool
 	// long is the part of its body that is not kept; nil: there is none.
 	long *longBody
 	// within is the time that the answer to a long one has from its last byte on.
@@ -219,6 +223,10 @@
 		reusable = true
 		return result{status: events.ConnectFailed, why: "drains or gone"}, false
 	}
+	if m.gone != nil && m.gone() {
+		reusable = true
+		return result{status: events.Moot, why: errGone.Error(), client: errGone}, false
+	}
 	if m.long != nil {
 		return p.long(ctx, cn, b, m, req, &reusable)
 	}
--- a/internal/agent/fakes_test.go
+++ b/internal/agent/fakes_test.go
@@ -42,6 +42,7 @@
 	answer func(c net.Conn, req *http.Request, n int) bool
 
 	mu       sync.Mutex
+	heads    int // of requests, which may not come whole
 	arrivals int
 	conns    int // open now
 	most     int
@@ -85,6 +86,9 @@
 		if err != nil {
 			return
 		}
+		b.mu.Lock()
+		b.heads++
+		b.mu.Unlock()
 		body, err := io.ReadAll(req.Body)
 		if err != nil {
 			return
@@ -106,6 +110,13 @@
 	return b.arrivals
 }
 
+// begun counts the requests that have begun to arrive.
+func (b *fakeBackend) begun() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.heads
+}
+
 // send writes an answer as it is.
 func send(c net.Conn, status int, header, body string) bool {
 	_, err := fmt.Fprintf(c, "HTTP/1.1 %d X\r\nContent-Length: %d\r\n%s\r\n%s", status, len(body), header, body)
--- a/internal/agent/front.go
+++ b/internal/agent/front.go
@@ -14,8 +14,11 @@
 	"strconv"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"clayproxy.example/clayproxy/internal/events"
 )
 
@@ -70,6 +73,8 @@
 		IdleTimeout:       2 * time.Minute,
 		MaxHeaderBytes:    16 << 10,
 		ConnState:         f.conns.track,
+		// A request's context ends with its client, or with the loop.
+		BaseContext: func(net.Listener) context.Context { return f.loop.ctx },
 		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
 			return context.WithValue(ctx, connKey{}, c)
 		},
@@ -272,7 +277,10 @@
 	if req.ContentLength > maxLong {
 		return nil, 0, http.StatusRequestEntityTooLarge, fmt.Errorf("body over %d bytes", maxLong)
 	}
-	c = &call{id: h.Get("Request-Id"), method: req.Method, host: req.Host, url: req.URL, header: h, answer: make(chan answer, 1)}
+	c = &call{ctx: req.Context(), id: h.Get("Request-Id"), method: req.Method, host: req.Host, url: req.URL, header: h, answer: make(chan answer, 1)}
+	if cc, ok := req.Context().Value(connKey{}).(*clientConn); ok {
+		c.gone = cc.gone
+	}
 	classes := f.classes.Load()
 	if c.rules = classes.rules[h.Get("Request-Class")]; c.rules == nil {
 		return bad("unknown Request-Class")
@@ -394,6 +402,28 @@
 	}
 }
 
+// gone tells whether the client has closed its side, also behind bytes that nobody has read:
+// a server that has read ahead of a request, or leaves its body unread, does not notice.
+func (c *clientConn) gone() bool {
+	sc, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	left := false
+	if err := raw.Control(func(fd uintptr) {
+		fds := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
+		n, err := unix.Poll(fds, 0)
+		left = err == nil && n > 0 && fds[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
+	}); err != nil {
+		return false
+	}
+	return left
+}
+
 func (c *clientConn) Close() error {
 	err := c.Conn.Close()
 	if !c.closed.Swap(true) {
--- /dev/null
+++ b/internal/agent/leave_test.go
@@ -0,0 +1,178 @@
+package agent
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// hold stops the loop until the returned function is called.
+func (a *testAgent) hold() (release func()) {
+	blocked, held := make(chan struct{}), make(chan struct{})
+	a.loop.post(func() { close(held); <-blocked })
+	<-held
+	return func() { close(blocked) }
+}
+
+// until waits for something that comes about by itself.
+func until(t *testing.T, what string, is func() bool) {
+	t.Helper()
+	for end := time.Now().Add(patience); !is(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("never came about: ", what)
+		}
+	}
+}
+
+// noneOpen waits until the server knows that all clients' connections have ended.
+func (a *testAgent) noneOpen(t *testing.T) {
+	t.Helper()
+	until(t, "all clients' connections are closed", func() bool { return a.front.conns.size() == 0 })
+}
+
+// A client's leaving and what would have its request sent again cross on the way to the loop.
+// The client went first, so nothing is sent, whatever the loop takes first.
+func TestNoFurtherAttemptOnceTheClientHasLeft(t *testing.T) {
+	arrived, answer := make(chan struct{}, 10), make(chan struct{})
+	turnsAway := func(c net.Conn, req *http.Request, _ int) bool {
+		arrived <- struct{}{}
+		<-answer
+		return send(c, 503, "Not-Started: 1\r\n", "")
+	}
+	first, second := newBackend(t, turnsAway), newBackend(t, turnsAway)
+	a := startAgent(t, newDiscoveryServer(t, target("s-1", first.addr), target("s-2", second.addr)), nil)
+	c := a.dial()
+	fmt.Fprint(c, "GET /api/a HTTP/1.1\r\nHost: x\r\nRequest-Id: 1\r\nRequest-Class: read\r\nRequest-Timeout-Ms: 4000\r\n\r\n")
+	<-arrived
+	release := a.hold()
+	close(answer)
+	until(t, "the loop is to take the attempt's end", func() bool { return len(a.loop.inbox) > 0 })
+	a.loop.post(func() { // time for an attempt to begin before the loop takes the leaving
+		select {
+		case <-arrived:
+		case <-time.After(200 * time.Millisecond):
+		}
+	})
+	c.Close()
+	until(t, "the loop is to take the client's leaving", func() bool { return len(a.loop.inbox) > 2 })
+	release()
+	a.noneOpen(t)
+	f := a.figures()
+	if n := first.count() + second.count(); n != 1 || f.gone != 1 || f.guarded > 0 {
+		t.Errorf("%d attempts, want 1; figures %+v", n, f)
+	}
+}
+
+// fullListener listens with a queue that is full, so that connections come up only once
+// there is room.
+func fullListener(t *testing.T) net.Listener {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { ln.Close() })
+	raw, err := ln.(*net.TCPListener).SyscallConn()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := raw.Control(func(fd uintptr) { _ = syscall.Listen(int(fd), 0) }); err != nil {
+		t.Fatal(err)
+	}
+	for range 4 {
+		c, err := net.DialTimeout("tcp", ln.Addr().String(), 100*time.Millisecond)
+		if err != nil {
+			return ln
+		}
+		t.Cleanup(func() { c.Close() })
+	}
+	t.Fatal("the queue does not fill")
+	return nil
+}
+
+// A connection that comes up after its client has left carries nothing, also while the loop
+// has not heard of it.
+func TestLateConnectionCarriesNothingOnceTheClientHasLeft(t *testing.T) {
+	t.Parallel()
+	ln := fullListener(t)
+	a := startAgent(t, newDiscoveryServer(t, target("s-1", ln.Addr().String())), func(c *Config) {
+		c.Settings.Limits.ConnectTimeoutMs = 10_000
+	})
+	c := a.dial()
+	fmt.Fprint(c, "GET /api/a HTTP/1.1\r\nHost: x\r\nRequest-Id: 1\r\nRequest-Class: read\r\nRequest-Timeout-Ms: 20000\r\n\r\n")
+	until(t, "the connect is under way", func() bool { return a.loop.pool.connects() == 1 })
+	release := a.hold()
+	defer release()
+	c.Close()
+	a.noneOpen(t)
+	// Room in the queue: a connect that goes on comes up with its next try, in a second.
+	over := time.AfterFunc(2500*time.Millisecond, func() { ln.Close() })
+	defer over.Stop()
+	for {
+		nc, err := ln.Accept()
+		if err != nil {
+			break
+		}
+		go func() {
+			defer nc.Close()
+			head := make([]byte, 1000)
+			_ = nc.SetReadDeadline(time.Now().Add(patience))
+			if n, _ := nc.Read(head); n > 0 {
+				t.Errorf("sent on: %q", head[:n])
+			}
+		}()
+	}
+}
+
+// A client may have sent more before it leaves: a byte behind its request, or a body that is
+// not read while the request waits. It has left all the same. (All of it fits what the system
+// takes unread: the end of a connection can't be seen before what comes ahead of it.)
+func TestWaitingRequestIsNotSentOnceItsClientHasLeft(t *testing.T) {
+	for name, text := range map[string]string{
+		"nothing more":   "GET /api/a HTTP/1.1\r\nHost: x\r\nRequest-Id: 9\r\nRequest-Class: read\r\nRequest-Timeout-Ms: 30000\r\n\r\n",
+		"a further byte": "GET /api/a HTTP/1.1\r\nHost: x\r\nRequest-Id: 9\r\nRequest-Class: read\r\nRequest-Timeout-Ms: 30000\r\n\r\n",
+		"many more bytes": "GET /api/a HTTP/1.1\r\nHost: x\r\nRequest-Id: 9\r\nRequest-Class: read\r\nRequest-Timeout-Ms: 30000\r\n\r\n" +
+			strings.Repeat("X", 30_000),
+		"half a long body": "POST /api/a HTTP/1.1\r\nHost: x\r\nRequest-Id: 9\r\nRequest-Class: order\r\nRequest-Timeout-Ms: 30000\r\n" +
+			"Content-Length: 400000\r\n\r\n" + strings.Repeat("X", maxBody+20_000),
+		"a whole long body": "POST /api/a HTTP/1.1\r\nHost: x\r\nRequest-Id: 9\r\nRequest-Class: order\r\nRequest-Timeout-Ms: 30000\r\n" +
+			fmt.Sprintf("Content-Length: %d\r\n\r\n", maxBody+20_000) + strings.Repeat("X", maxBody+20_000),
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			answer := make(chan struct{})
+			a, b := one(t, func(c net.Conn, req *http.Request, n int) bool {
+				if n < 8 {
+					<-answer
+				}
+				return serving(c, req, n)
+			})
+			for range 8 { // all that a lone agent has out at an unmeasured server
+				c := a.dial()
+				fmt.Fprint(c, "GET /api/a HTTP/1.1\r\nHost: x\r\nRequest-Id: 1\r\nRequest-Class: read\r\nRequest-Timeout-Ms: 30000\r\n\r\n")
+			}
+			until(t, "eight are at work", func() bool { return b.count() == 8 })
+			c := a.dial()
+			fmt.Fprint(c, text)
+			until(t, "the ninth waits", func() bool {
+				held := make(chan int)
+				a.loop.post(func() { held <- a.loop.balancer.View().Held })
+				return <-held == 1
+			})
+			if name == "a further byte" {
+				fmt.Fprint(c, "X")
+				time.Sleep(50 * time.Millisecond) // so that it is read by itself, as a rule
+			}
+			c.Close()
+			time.Sleep(50 * time.Millisecond) // its FIN or reset is there long before
+			close(answer)
+			until(t, "it is over", func() bool { f := a.figures(); return f.failed+f.gone == 1 && f.served == 8 })
+			if b.begun() != 8 {
+				t.Error("a request was sent on whose client had left")
+			}
+		})
+	}
+}
--- a/internal/agent/loop.go
+++ b/internal/agent/loop.go
@@ -82,7 +82,9 @@
 
 // call is a client's request as the front took it, and where its answer goes.
 type call struct {
-	id           string // the client's
+	ctx          context.Context // ends with its client
+	gone         func() bool     // looks whether the client has left unnoticed; nil: it can't be looked
+	id           string          // the client's
 	came         time.Time
 	method, host string
 	url          *url.URL
@@ -358,10 +360,15 @@
 	if r.answered {
 		return
 	}
+	l.depart(r)
+	l.abandon(r)
+}
+
+// depart ends a request whose client has left.
+func (l *loop) depart(r *request) {
 	l.figures.gone++
 	l.course(r, "client left")
 	l.close(r)
-	l.abandon(r)
 }
 
 // abandon tells the module that a request is over, and withdraws its attempts.
@@ -445,8 +452,14 @@
 	case a.Ms != 0:
 		until = earliest(until, now.Add(ms(a.Ms)))
 	}
-	if why := l.forbidden(r, b, now, until); why != "" {
+	why := ""
+	if !r.answered && r.call.ctx.Err() != nil {
+		why = "client left" // the front's word of it is on its way
+		l.depart(r)
+	} else if why = l.forbidden(r, b, now, until); why != "" {
 		l.guard(why, "id", r.call.id)
+	}
+	if why != "" {
 		t.done, t.end, t.why = true, events.Moot, why
 		l.pending = append(l.pending, events.Event{Kind: events.EvOutcome, Request: r.id, Attempt: index,
 			Server: a.Server, Status: events.Moot, Final: r.answered})
@@ -456,10 +469,11 @@
 	r.out++
 	r.mayRun++
 	b.out++
-	ctx, cancel := context.WithCancel(l.ctx)
+	// Withdrawn by the client's leaving as well, and not only by the loop once it knows.
+	ctx, cancel := context.WithCancel(r.call.ctx)
 	t.cancel = cancel
 	addr := b.addr
-	m := &message{request: r.call.request, long: r.call.long, within: r.call.timeout - backstopMargin,
+	m := &message{request: r.call.request, long: r.call.long, gone: r.call.gone, within: r.call.timeout - backstopMargin,
 		written: func() { l.post(func() { l.written(r, index) }) }}
 	go func() {
 		res := l.pool.do(ctx, b, addr, m, now, until)
