Make room among clients' connections without crossing a request; keep readers' deadlines

Suspected from reading, confirmed by tests that fail on the program before: - clientConns.makeRoom closed the connection that had idled longest outright: a request that had arrived and was not read yet met a reset. It now has the reader look first, as the emptying does (leave); if a request has come, another connection makes the room. - clientConn.Read gave a woken reader 2.6 s (headTime), whatever deadline it had.

TestRequestThatCrossesACloseIsNotPassedOn made its close by filling the limit, which closes nothing outright any more; it now closes the connection itself, and wants the same. TestIdleClientsMakeRoomAtTheLimit ran on pipes and counted closes; it runs on the agent's connections and counts those that are to leave. Ruled out: a second close of one connection (the slot is given back once, by closed).

--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -611,17 +611,18 @@
 func TestIdleClientsMakeRoomAtTheLimit(t *testing.T) {
 	const most = 16
 	c := newClientConns(most)
-	var conns []net.Conn
+	var conns []*clientConn
 	for range most {
-		x, y := net.Pipe()
+		p, y := net.Pipe()
 		defer y.Close()
+		x := &clientConn{Conn: p, release: func() {}}
 		conns = append(conns, x)
 		c.track(x, http.StateNew)
 		c.track(x, http.StateActive)
 	}
 	closed := func() (n int) {
 		for _, x := range conns {
-			if x.SetDeadline(time.Now().Add(time.Hour)) != nil {
+			if x.leaving { // nothing has come, so its reader ends it
 				n++
 			}
 		}
@@ -892,8 +893,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	a := startAgentOn(t, d, lateCloses{ln}, func(c *Config) { c.Sockets = minSockets })
-	most := a.loop.cfg.clientConns()
+	a := startAgentOn(t, d, lateCloses{ln}, nil)
 	dial := func() (net.Conn, *bufio.Reader) {
 		c, err := net.Dial("tcp", a.addr)
 		if err != nil {
@@ -908,13 +908,15 @@
 	if resp, err := http.ReadResponse(br, nil); err != nil || resp.StatusCode != 200 {
 		t.Fatalf("%v, %v", resp, err)
 	}
-	for range most * 7 / 8 { // the first is the longest idle and makes room
-		c, br := dial()
-		fmt.Fprint(c, "GET /-/ready HTTP/1.1\r\nHost: x\r\n\r\n")
-		if resp, err := http.ReadResponse(br, nil); err != nil || resp.StatusCode != 200 {
-			t.Fatalf("%v, %v", resp, err)
-		}
-	}
+	conns := a.front.conns
+	until(t, "the connection idles", func() bool {
+		conns.mu.Lock()
+		defer conns.mu.Unlock()
+		return conns.order.Len() == 1
+	})
+	conns.mu.Lock()
+	conns.order.Front().Value.(net.Conn).Close()
+	conns.mu.Unlock()
 	fmt.Fprint(first, "POST /api/a1 HTTP/1.1\r\nHost: x\r\nRequest-Id: 1\r\nRequest-Class: order\r\n"+
 		"Request-Timeout-Ms: 4000\r\nContent-Length: 0\r\n\r\n")
 	if resp, err := http.ReadResponse(br, nil); err == nil {
--- a/internal/agent/front.go
+++ b/internal/agent/front.go
@@ -368,19 +368,51 @@
 // connKey is the key of a request's *clientConn in its context.
 type connKey struct{}
 
-// clientConn is a client's connection that tells whether this agent has closed it.
+// clientConn is a client's connection that tells whether this agent has closed it, and ends
+// between two requests without crossing one.
 type clientConn struct {
 	net.Conn
 	release func() // gives its slot back
 	closed  atomic.Bool
-	leaving atomic.Bool // to be closed if nothing has come
 	begun   atomic.Bool // bytes have come since it idled last
+
+	mu      sync.Mutex
+	leaving bool      // to be closed if nothing has come: its reader is woken to look
+	until   time.Time // the reader's own deadline
 }
 
 // leave has the connection closed by whoever reads it, unless a request has come.
 func (c *clientConn) leave() {
-	c.leaving.Store(true)
-	c.SetReadDeadline(time.Unix(1, 0))
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.begun.Load() {
+		c.leaving = true
+		c.Conn.SetReadDeadline(time.Unix(1, 0))
+	}
+}
+
+// SetReadDeadline sets the reader's deadline; one that is woken keeps it for later.
+func (c *clientConn) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.until = t
+	if c.leaving {
+		return nil
+	}
+	return c.Conn.SetReadDeadline(t)
+}
+
+// woken tells whether the reader was woken to leave, and gives it its own deadline back:
+// nothing can be looked at under one that is past.
+func (c *clientConn) woken() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.leaving {
+		return false
+	}
+	c.leaving = false
+	c.Conn.SetReadDeadline(c.until)
+	return true
 }
 
 // Read is where a connection that is to leave ends. Its reader looks once more at what has
@@ -391,11 +423,9 @@
 		if n > 0 {
 			c.begun.Store(true)
 		}
-		if n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) || !c.leaving.Swap(false) {
+		if n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) || !c.woken() {
 			return n, err
 		}
-		// Nothing can be looked at under a deadline that is past.
-		c.SetReadDeadline(time.Now().Add(headTime))
 		if !c.begun.Load() && alive(c.Conn) {
 			return n, err
 		}
@@ -463,19 +493,19 @@
 	return l.Listener.Close()
 }
 
-// clientConns closes the client connections that have idled longest when there
+// clientConns ends the client connections that have idled longest when there
 // are nearly as many as may be: clients keep connections for good, and those that
 // wait for a descriptor would wait as long.
 //
 // It looks both when a connection comes and when one falls idle. At the limit none
 // comes any more, and if all fell idle only then nobody would ever make room. One
-// that is being closed no longer counts and is not chosen again: the server
-// notices the close only later.
+// that is being ended no longer counts and is not chosen again, unless a request
+// proves to have come on it: then another makes room.
 type clientConns struct {
 	slots   quota
 	mu      sync.Mutex
 	max     int
-	open    map[net.Conn]bool // true: being closed
+	open    map[net.Conn]bool // true: being ended
 	closing int
 	order   list.List // idle connections, the longest idle first
 	idle    map[net.Conn]*list.Element
@@ -493,6 +523,14 @@
 	switch state {
 	case http.StateNew:
 		c.open[nc] = false
+	case http.StateActive:
+		if cc, ok := nc.(*clientConn); ok {
+			cc.begun.Store(true) // also where its bytes were read with those of the last
+		}
+		if c.open[nc] {
+			c.open[nc] = false
+			c.closing--
+		}
 	case http.StateIdle:
 		if cc, ok := nc.(*clientConn); ok {
 			cc.begun.Store(false)
@@ -521,14 +559,16 @@
 	c.makeRoom()
 }
 
-// makeRoom closes those that have idled longest while there are nearly too many. The lock is held.
+// makeRoom ends those that have idled longest while there are nearly too many. The lock is held.
 func (c *clientConns) makeRoom() {
 	for len(c.open)-c.closing > c.max*7/8 && c.order.Len() > 0 {
 		oldest := c.order.Front().Value.(net.Conn)
 		c.busy(oldest)
 		c.open[oldest] = true
 		c.closing++
-		oldest.Close() // the server's read then fails, and it reports the close
+		if cc, ok := oldest.(*clientConn); ok {
+			cc.leave() // the server's read then fails, and it reports the close
+		}
 	}
 }
 
--- a/internal/agent/leave_test.go
+++ b/internal/agent/leave_test.go
@@ -1,9 +1,11 @@
 package agent
 
 import (
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"syscall"
 	"testing"
@@ -176,3 +178,124 @@
 		})
 	}
 }
+
+// clientPair is a client's end of a connection and the agent's.
+func clientPair(t *testing.T) (client net.Conn, c *clientConn) {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	if client, err = net.Dial("tcp", ln.Addr().String()); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { client.Close() })
+	accepted, err := newClientListener(ln, newQuota(8)).Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { accepted.Close() })
+	return client, accepted.(*clientConn)
+}
+
+// Where connections make room for others, a request that has come on the one chosen is not
+// crossed: it is read, and another connection makes the room.
+func TestMakingRoomCrossesNoRequest(t *testing.T) {
+	conns := newClientConns(4) // three are room enough
+	var clients []net.Conn
+	var servers []*clientConn
+	for range 4 {
+		client, c := clientPair(t)
+		clients, servers = append(clients, client), append(servers, c)
+	}
+	fmt.Fprint(clients[0], "GET") // to the one that will have idled longest
+	until(t, "it has arrived", func() bool { return !alive(servers[0].Conn) })
+	for _, c := range servers[:3] {
+		conns.track(c, http.StateNew)
+		conns.track(c, http.StateActive)
+		conns.track(c, http.StateIdle)
+	}
+	conns.track(servers[3], http.StateNew) // the fourth asks for room
+	buf := make([]byte, 10)
+	if n, err := servers[0].Read(buf); string(buf[:n]) != "GET" || err != nil {
+		t.Fatalf("a request was crossed: read %q, %v", buf[:n], err)
+	}
+	conns.track(servers[0], http.StateActive)
+	if _, err := servers[1].Read(buf); !errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Errorf("the next one did not make room: %v", err)
+	}
+	conns.track(servers[1], http.StateClosed)
+	if conns.size() != 3 || conns.closing != 0 {
+		t.Errorf("%d open, %d of them being ended", conns.size(), conns.closing)
+	}
+}
+
+// What wakes a connection's reader to look leaves the reader's own deadline as it was, whichever
+// of the two is set first, and however often it is woken: a request that has begun has the time
+// it had, no less and no more.
+func TestLeavingKeepsTheReadersDeadline(t *testing.T) {
+	t.Run("a request under way is not cut short", func(t *testing.T) {
+		client, c := clientPair(t)
+		c.SetReadDeadline(time.Time{})
+		c.leave()
+		c.begun.Store(true) // the head came as it was woken
+		time.AfterFunc(headTime+200*time.Millisecond, func() { client.Write([]byte("x")) })
+		if n, err := c.Read(make([]byte, 1)); n != 1 || err != nil {
+			t.Errorf("read %d, %v", n, err)
+		}
+	})
+	t.Run("half a head is not kept open", func(t *testing.T) {
+		client, c := clientPair(t)
+		client.Write([]byte("GET"))
+		c.SetReadDeadline(time.Now().Add(300 * time.Millisecond))
+		buf := make([]byte, 10)
+		if _, err := c.Read(buf); err != nil {
+			t.Fatal(err)
+		}
+		ended := make(chan error, 1)
+		go func() {
+			_, err := c.Read(buf)
+			ended <- err
+		}()
+		over := time.After(patience)
+		for {
+			select {
+			case err := <-ended:
+				if !errors.Is(err, os.ErrDeadlineExceeded) {
+					t.Errorf("ended with %v", err)
+				}
+				return
+			case <-time.After(20 * time.Millisecond): // as the sweep of an emptying front does
+				c.leave()
+			case <-over:
+				t.Fatal("a peer that brings half a head stays while the front empties")
+			}
+		}
+	})
+	t.Run("a deadline set on one that is to leave does not keep it", func(t *testing.T) {
+		_, c := clientPair(t)
+		c.leave()
+		c.SetReadDeadline(time.Now().Add(time.Hour)) // as the server does where one falls idle
+		if _, err := c.Read(make([]byte, 1)); !errors.Is(err, os.ErrDeadlineExceeded) {
+			t.Errorf("read %v", err)
+		}
+	})
+}
+
+// Requests that a client has sent ahead are in the server's buffer where it falls idle: the
+// sweep of an emptying front does not take them for a client that has left.
+func TestEmptyingLeavesARequestThatWasReadAhead(t *testing.T) {
+	client, c := clientPair(t)
+	conns := newClientConns(8)
+	conns.track(c, http.StateNew)
+	conns.track(c, http.StateActive)
+	conns.track(c, http.StateIdle)
+	c.SetReadDeadline(time.Time{})
+	c.leave()                        // the sweep
+	conns.track(c, http.StateActive) // by what was read ahead
+	time.AfterFunc(50*time.Millisecond, func() { client.Write([]byte("x")) })
+	if _, err := c.Read(make([]byte, 1)); err != nil {
+		t.Errorf("the wait for the client's leaving ended with %v, and it has not left", err)
+	}
+}
