Rest a connection before its next request; begin no repeat past its window

Both confirmed by tests over sockets that fail on the program before: - pool.get took the connection used last at once. A second answer that came 5 ms after the first was read as the next request's answer ('request 1 was answered "a second answer"'). A connection now rests for 20 ms (settleTime) first; what comes meanwhile is seen by alive, and the connection closed. - The module looks at a keyed request's window when it decides, and the connect may take connectTimeoutMs after that: a repeat was written 600 ms after its first attempt where backends drop repeats for 400 ms. The loop now keeps when the first attempt that may have run began, and over() begins nothing later (Moot). Ruled out: the window's start (the decision comes before the first send, so it errs to the safe side), and long bodies (what is gone can't be repeated).

Tests that reuse a connection at once now let it rest, or give it the age that they mean; what they want is the same.

--- a/internal/agent/backend.go
+++ b/internal/agent/backend.go
@@ -12,6 +12,7 @@
 	"net/http"
 	"net/url"
 	"regexp"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -22,8 +23,14 @@
 	"clayproxy.example/clayproxy/internal/events"
 )
 
-// maxHead is the largest head of an answer.
-const maxHead = 16 << 10
+const (
+	// maxHead is the largest head of an answer.
+	maxHead = 16 << 10
+	// settleTime is how long a connection rests before it carries another message. A backend may
+	// bring a second answer some milliseconds late; one that comes later than this would be
+	// taken for the next message's.
+	settleTime = 20 * time.Millisecond
+)
 
 // backend is one listed server. Its fields belong to the loop, but for closed.
 type backend struct {
@@ -117,6 +124,8 @@
 type message struct {
 	// request is made for the time that is left.
 	request func(left time.Duration) *http.Request
+	// sendBy is when a repeat's time is over: nothing is begun later. Zero: it is none.
+	sendBy time.Time
 	// gone tells whether who sent it has left; nil: it can't be told.
 	gone func() bool
 	// long is the part of its body that is not kept; nil: there is none.
@@ -223,6 +232,10 @@
 		reusable = true
 		return result{status: events.ConnectFailed, why: "drains or gone"}, false
 	}
+	if !m.sendBy.IsZero() && time.Now().After(m.sendBy) {
+		reusable = true
+		return result{status: events.Moot, why: "the time for repeats is over"}, false
+	}
 	if m.gone != nil && m.gone() {
 		reusable = true
 		return result{status: events.Moot, why: errGone.Error(), client: errGone}, false
@@ -448,17 +461,21 @@
 	codingField = regexp.MustCompile(`(?i)\ntransfer-encoding[ \t]*:`)
 )
 
-// get returns an idle connection that is still good, the most recently used
+// get returns an idle connection that is still good and has rested, the most recently used
 // first, or opens one.
 func (p *pool) get(ctx context.Context, addr string, deadline time.Time) (*conn, error) {
 	for {
 		p.mu.Lock()
 		list := p.idle[addr]
-		if len(list) == 0 {
+		i := len(list) - 1
+		for i >= 0 && time.Since(list[i].since) < settleTime {
+			i--
+		}
+		if i < 0 {
 			break
 		}
-		cn := list[len(list)-1]
-		p.idle[addr] = list[:len(list)-1]
+		cn := list[i]
+		p.idle[addr] = slices.Delete(list, i, i+1)
 		limit := p.times.limit(p.keepalive)
 		p.mu.Unlock()
 		if cn.idled = time.Since(cn.since); cn.idled < limit && alive(cn.Conn) {
--- a/internal/agent/body_test.go
+++ b/internal/agent/body_test.go
@@ -220,6 +220,7 @@
 		if err != nil || resp.StatusCode != 200 || !bytes.Equal(append(first, rest...), long) {
 			t.Errorf("%s: answered %d, %d bytes, %v", form, resp.StatusCode, 100+len(rest), err)
 		}
+		time.Sleep(2 * settleTime) // the connection has rested
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- /dev/null
+++ b/internal/agent/crossing_test.go
@@ -0,0 +1,106 @@
+package agent
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"clayproxy.example/clayproxy/internal/events"
+)
+
+// A second answer that comes some milliseconds late on a kept connection is nobody's: the next
+// request there has its own.
+func TestSecondAnswerIsNotTheNextRequests(t *testing.T) {
+	a, b := one(t, func(c net.Conn, req *http.Request, n int) bool {
+		if !serving(c, req, n) {
+			return false
+		}
+		if n == 0 {
+			time.Sleep(5 * time.Millisecond)
+			_ = send(c, 200, "", "a second answer")
+		}
+		return true
+	})
+	client := a.dial()
+	for i := range 3 {
+		fmt.Fprintf(client, "GET /api/%d HTTP/1.1\r\nHost: x\r\nRequest-Id: %d\r\nRequest-Class: read\r\nRequest-Timeout-Ms: 4000\r\n\r\n", i, i)
+		resp, err := http.ReadResponse(client.br, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		body := make([]byte, 100)
+		n, _ := resp.Body.Read(body)
+		resp.Body.Close()
+		if want := fmt.Sprintf("GET /api/%d ", i); string(body[:n]) != want {
+			t.Errorf("request %d was answered %q, want %q", i, body[:n], want)
+		}
+	}
+	if b.count() != 3 {
+		t.Errorf("%d arrivals, want 3", b.count())
+	}
+}
+
+// A repeat is begun only while backends still drop repeats, also where its connection comes up
+// after the module's look at the clock.
+func TestRepeatIsNotBegunPastItsWindow(t *testing.T) {
+	t.Parallel()
+	fails := newBackend(t, func(c net.Conn, _ *http.Request, _ int) bool { return send(c, 500, "", "") })
+	// Where the module tries first is by its hash: one of two ids leads to the failing one.
+	for _, ids := range [][2]string{{"s-1", "s-2"}, {"s-2", "s-1"}, {"s-3", "s-4"}, {"s-4", "s-3"}} {
+		ln := fullListener(t)
+		a := startAgent(t, newDiscoveryServer(t, target(ids[0], fails.addr), target(ids[1], ln.Addr().String())), func(c *Config) {
+			c.Settings.Limits.ConnectTimeoutMs = 10_000
+			for i := range c.Settings.Classes {
+				c.Settings.Classes[i].KeyTTLMs = 400
+			}
+		})
+		before := fails.count()
+		a.front.retune(a.loop.cfg)
+		req := newRequest(a.addr, "send", "x")
+		req.Header.Set("Request-Timeout-Ms", "8000")
+		got := make(chan int, 1)
+		go func() {
+			resp, err := testClient.Do(req)
+			if err != nil {
+				got <- 0
+				return
+			}
+			resp.Body.Close()
+			got <- resp.StatusCode
+		}()
+		until(t, "a connect is under way", func() bool { return a.loop.pool.connects() > 0 })
+		time.Sleep(100 * time.Millisecond)
+		if fails.count() == before { // the slow one came first: no repeat is on its way
+			ln.Close()
+			a.stop()
+			continue
+		}
+		// The repeat's connect hangs until there is room, past the window by then.
+		time.AfterFunc(600*time.Millisecond, func() {
+			for {
+				nc, err := ln.Accept()
+				if err != nil {
+					return
+				}
+				go func() {
+					defer nc.Close()
+					head := make([]byte, 1000)
+					if n, _ := nc.Read(head); n > 0 {
+						t.Errorf("repeated after its window: %q", head[:n])
+						_ = send(nc, 200, "", "")
+					}
+				}()
+			}
+		})
+		if status := <-got; status != 502 {
+			t.Errorf("answered %d, want 502", status)
+		}
+		if f := a.figures(); f.ends[events.Moot] != 1 {
+			t.Errorf("figures %+v", f)
+		}
+		return
+	}
+	t.Error("no request came to the failing backend first")
+}
--- a/internal/agent/loop.go
+++ b/internal/agent/loop.go
@@ -123,10 +123,11 @@
 	call     *call
 	answered bool
 	attempts []*attempt
-	writing  bool // a long body is on its way to a backend: its time has not begun
-	out      int  // attempts out
-	mayRun   int  // attempts that are out or may have run
-	unfit    bool // by a backend's word
+	writing  bool      // a long body is on its way to a backend: its time has not begun
+	out      int       // attempts out
+	mayRun   int       // attempts that are out or may have run
+	ranAt    time.Time // when the first of those began
+	unfit    bool      // by a backend's word
 	backstop *time.Timer
 }
 
@@ -465,6 +466,14 @@
 			Server: a.Server, Status: events.Moot, Final: r.answered})
 		return
 	}
+	var sendBy time.Time
+	if r.mayRun == 0 {
+		r.ranAt = now
+	} else if c := r.call.rules; c.Effect == events.Guarded {
+		// Backends drop repeats for so long. The connect may take its time, so the module's
+		// look at the clock is not enough; what is written has a round to arrive.
+		sendBy = r.ranAt.Add(ms(c.KeyTTLMs - 2*l.cfg.Settings.RoundMs))
+	}
 	r.writing = long
 	r.out++
 	r.mayRun++
@@ -473,7 +482,7 @@
 	ctx, cancel := context.WithCancel(r.call.ctx)
 	t.cancel = cancel
 	addr := b.addr
-	m := &message{request: r.call.request, long: r.call.long, gone: r.call.gone, within: r.call.timeout - backstopMargin,
+	m := &message{request: r.call.request, long: r.call.long, gone: r.call.gone, sendBy: sendBy, within: r.call.timeout - backstopMargin,
 		written: func() { l.post(func() { l.written(r, index) }) }}
 	go func() {
 		res := l.pool.do(ctx, b, addr, m, now, until)
