Tell the module of a client that left before its withdrawn attempt's end

Cause: since the client's leaving withdraws the attempt by itself, and loop.ended could come ahead of the front's word: the module then took the withdrawn attempt for one to try again or fail, and did not count the try as lost, so it shed less in a crowd. Change: ended looks at the request's context and tells the module first, as before.

--- a/internal/agent/loop.go
+++ b/internal/agent/loop.go
@@ -558,6 +558,8 @@
 	switch {
 	case r.answered:
 		res.body.end()
+	case res.status != events.OK && r.call.ctx.Err() != nil:
+		l.left(r) // the front's word of it is on its way
 	case res.status == events.OK:
 		l.finish(r, answer{verdict: served, header: res.header, body: res.body})
 	case res.client != nil:
