Count the descriptors so that one process and two side by side keep within them

With every slot taken a call to discovery could fail. Confirmed by arithmetic: TestDescriptorsAddUp, from 64 to 1,024 descriptors, fails with the 24 operators of before (262 of 256) and with the reserve of an eighth alone (below 256).

Change: the reserve is an eighth and 32 at the least; operators have what the process's own 14 leave of it, of half of it while two processes are there (2 at 256).

TestSIGHUPMovesDiscovery passes over repeated calls to the old address before the move, as a silent discovery is asked again now, and wants none beside the new one's after it.

--- a/cmd/ringtrack/main_test.go
+++ b/cmd/ringtrack/main_test.go
@@ -237,15 +237,18 @@
 	}
 	defer cmd.Process.Kill()
 	log := bufio.NewReader(stderr)
-	wait := func(name string) {
+	wait := func(name string) { // the first is asked again and again, as it stays silent
 		t.Helper()
-		select {
-		case got := <-asked:
-			if got != name {
-				t.Fatalf("the %s discovery was asked, want the %s", got, name)
+		over := time.After(patience)
+		for {
+			select {
+			case got := <-asked:
+				if got == name {
+					return
+				}
+			case <-over:
+				t.Fatalf("the %s discovery was not asked", name)
 			}
-		case <-time.After(patience):
-			t.Fatalf("the %s discovery was not asked", name)
 		}
 	}
 	hangUp := func(text, logged string) {
@@ -266,6 +269,12 @@
 	hangUp("nonsense", "reload failed")
 	hangUp(config(second), "discovery moves")
 	wait("second")
+	wait("second") // after its silence
+	select {
+	case got := <-asked:
+		t.Errorf("the %s discovery was asked beside", got)
+	default:
+	}
 	if err := cmd.Process.Signal(syscall.SIGTERM); err != nil {
 		t.Fatal(err)
 	}
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -52,12 +52,12 @@
 		return fmt.Errorf("agent: %w", err)
 	}
 	failed := make(chan error, 2)
+	m := newManagement(f, view, cfg.operatorConns(1))
+	defer m.close()
 	if ln.Operators != nil {
-		m := newManagement(f, view)
-		defer m.close()
 		go func() { failed <- m.serve(ln.Operators) }()
 	}
-	share := &shares{cfg: cfg, conns: f.conns, pool: l.pool, quotas: []quota{f.conns.slots, f.budget, l.pool.budget}}
+	share := &shares{cfg: cfg, door: m, conns: f.conns, pool: l.pool, quotas: []quota{f.conns.slots, f.budget, l.pool.budget}}
 	if ln.Shared {
 		// Before the first client, so that what the other process has is left to it.
 		if err := share.takeTurn(ctx, ln.Lock); err != nil {
--- a/internal/agent/config.go
+++ b/internal/agent/config.go
@@ -219,14 +219,27 @@
 	return c, nil
 }
 
-// minSockets leaves a few connections to each side beside the reserve.
-const minSockets = 64
-
-// clientConns and backendConns divide the descriptors: neither side can take
-// the other's, and the rest is for the listener, discovery, the log and the
-// runtime's own.
-func (c *Config) clientConns() int  { return c.ownSockets() * 7 / 16 }
-func (c *Config) backendConns() int { return c.ownSockets() * 7 / 16 }
+const (
+	// minSockets leaves a few connections to each side beside the reserve.
+	minSockets = 64
+	// fixedSockets are what a process takes whatever comes: three streams, the poller's two,
+	// its two listeners, the lock, four calls to discovery, the file that is read at a reload,
+	// and one connection that is accepted before another is closed.
+	fixedSockets = 14
+	// leastReserve lets two processes stand side by side with two operators each.
+	leastReserve = 2 * (fixedSockets + 2)
+)
+
+// clientConns and backendConns divide the descriptors: neither side can take the other's, nor
+// the reserve, which is for operators and what a process takes whatever comes.
+func (c *Config) clientConns() int  { return (c.ownSockets() - max(c.ownSockets()/8, leastReserve)) / 2 }
+func (c *Config) backendConns() int { return c.clientConns() }
+
+// operatorConns are the operators' connections where the reserve is shared by so many processes.
+func (c *Config) operatorConns(processes int) int {
+	reserve := c.ownSockets() - c.clientConns() - c.backendConns()
+	return min(reserve/processes-fixedSockets, maxCalls)
+}
 
 // ownSockets are the descriptors but those that the fleet view takes, where there is one.
 func (c *Config) ownSockets() int {
--- a/internal/agent/management.go
+++ b/internal/agent/management.go
@@ -23,7 +23,7 @@
 	// answerTime bounds how long an operator may take to read an answer, from the call's
 	// head on.
 	answerTime = 2 * time.Second
-	// maxCalls bounds the operators' connections: their descriptors are the reserve's.
+	// maxCalls bounds the operators' connections, whatever the reserve has room for.
 	maxCalls = 24
 	// maxCallBody bounds the body of a call, which says nothing.
 	maxCallBody = 4 << 10
@@ -40,10 +40,18 @@
 	mu     sync.Mutex
 	silent []net.Conn // connections that have not brought a whole head, the oldest first
 	open   int
+	most   int
 }
 
-func newManagement(f *front, fl *fleet.Fleet) *management {
-	m := &management{front: f, fleet: fl}
+// limit bounds the operators' connections from now on.
+func (m *management) limit(most int) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.most = most
+}
+
+func newManagement(f *front, fl *fleet.Fleet, most int) *management {
+	m := &management{front: f, fleet: fl, most: most}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /ops/readiness", m.readiness)
 	mux.HandleFunc("PUT /ops/drain/start", m.whole(f.startDrain))
@@ -134,7 +142,7 @@
 	default:
 		m.speaks(nc)
 	}
-	if m.open > maxCalls && len(m.silent) > 1 {
+	if m.open > m.most && len(m.silent) > 1 {
 		m.silent[0].Close() // the server's read then fails, and it reports the close
 		m.silent = m.silent[1:]
 	}
--- a/internal/agent/share.go
+++ b/internal/agent/share.go
@@ -28,6 +28,7 @@
 // new version beside the old one: each has half of the bytes and of the descriptors.
 type shares struct {
 	cfg    *Config
+	door   *management
 	conns  *clientConns
 	pool   *pool
 	quotas []quota
@@ -73,6 +74,7 @@
 func (s *shares) set(part int) {
 	debug.SetMemoryLimit(s.cfg.MemoryLimit() / int64(part))
 	s.pool.limit(s.cfg.backendConns() / part)
+	s.door.limit(s.cfg.operatorConns(part))
 }
 
 // takeTurn holds the lock file until ctx is done. While another process has it this one has
--- a/internal/agent/share_test.go
+++ b/internal/agent/share_test.go
@@ -11,7 +11,7 @@
 
 func newShares(sockets int) *shares {
 	cfg := &Config{MemoryMB: 64, Sockets: sockets, Settings: events.Settings{}}
-	s := &shares{cfg: cfg, conns: newClientConns(cfg.clientConns()), pool: newPool(cfg)}
+	s := &shares{cfg: cfg, door: newManagement(nil, nil, cfg.operatorConns(1)), conns: newClientConns(cfg.clientConns()), pool: newPool(cfg)}
 	s.quotas = []quota{s.conns.slots, newBudget(cfg), s.pool.budget}
 	return s
 }
@@ -78,3 +78,17 @@
 	}
 	want("the second, alone", second, 1)
 }
+
+// Whatever a configuration allows, one process and two side by side stay within its descriptors
+// with every slot taken, and each side has some.
+func TestDescriptorsAddUp(t *testing.T) {
+	for sockets := minSockets; sockets <= 1024; sockets++ {
+		c := &Config{Sockets: sockets}
+		one := c.clientConns() + c.backendConns() + c.operatorConns(1) + fixedSockets
+		two := 2 * ((c.clientConns()+1)/2 + c.backendConns()/2 + c.operatorConns(2) + fixedSockets)
+		if one > sockets || two > sockets || c.clientConns() < 16 || c.operatorConns(2) < 2 {
+			t.Fatalf("%d descriptors: one process takes %d, two %d; %d for clients, %d for operators", sockets, one, two,
+				c.clientConns(), c.operatorConns(2))
+		}
+	}
+}
