Be ready within 5 s where no server is known and discovery is silent

Suspected from reading: run() told readiness only once a server was known. Change: after firstListWait, 5 s, clients may come all the same; what they ask is refused in its time, until there is a list. Not on an inherited listener, where the process that still serves knows more; operators are told 'serves' only once a server may be sent to. Ruled out: an old list (its servers are tried at once).

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -71,6 +71,10 @@
 		go serve()
 		serve = nil
 	}
+	var waited <-chan time.Time
+	if !ln.Shared { // there the process that still serves knows more
+		waited = time.After(firstListWait)
+	}
 	held := cfg.heldFor()
 	for serving := true; serving; {
 		select {
@@ -82,6 +86,8 @@
 			}
 			f.ready()
 			usable = nil
+		case <-waited:
+			f.takes.Store(true)
 		case err := <-failed:
 			return err
 		case c := <-reloads:
@@ -134,6 +140,10 @@
 	return left
 }
 
+// firstListWait is how long clients are kept waiting for a first server: restarts are ready within
+// 10 s, also where nothing is known and discovery is silent. Requests are then refused in time.
+const firstListWait = 5 * time.Second
+
 // MemoryLimit is the memory that the runtime is to keep within, long before the limit over
 // which the agent would be killed.
 func (c *Config) MemoryLimit() int64 { return int64(c.MemoryMB) << 20 * 3 / 4 }
--- a/internal/agent/crossing_test.go
+++ b/internal/agent/crossing_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -104,3 +105,34 @@
 	}
 	t.Error("no request came to the failing backend first")
 }
+
+// A process that knows no server, of a discovery that is silent, is ready in time all the same:
+// its requests are refused in theirs, and served once there is a list. Operators are told that it
+// serves only then.
+func TestReadyWhileNothingIsKnown(t *testing.T) {
+	t.Parallel()
+	b := newBackend(t, serving)
+	var up atomic.Bool
+	addr, _ := scriptedDiscovery(t, func(int, watchCall) string {
+		if !up.Load() {
+			return ""
+		}
+		return fmt.Sprintf(`{"version":3,"full":true,"servers":[{"id":"s-1","addr":%q,"state":"up","weight":1}]}`, b.addr)
+	})
+	from := time.Now()
+	a := startAgent(t, newDiscoveryServer(t), func(c *Config) { c.Discovery, c.Settings.Membership = addr, "pushed" })
+	if took := time.Since(from); took > 10*time.Second {
+		t.Errorf("ready after %v", took)
+	}
+	wantStatus(t, a.call("GET", "/ops/readiness"), 503)
+	req := newRequest(a.addr, "order", "x")
+	req.Header.Set("Request-Timeout-Ms", "500")
+	status, _, _ := a.ask(req)
+	wantStatus(t, status, 503)
+	up.Store(true)
+	until(t, "a request is served", func() bool {
+		status, _, _ := a.ask(newRequest(a.addr, "order", "x"))
+		return status == 200
+	})
+	until(t, "operators are told", func() bool { return a.call("GET", "/ops/readiness") == 200 })
+}
--- a/internal/agent/front.go
+++ b/internal/agent/front.go
@@ -49,8 +49,8 @@
 	budget  quota // of requests' bodies
 	conns   *clientConns
 
-	usable  atomic.Bool // a backend may be sent to
-	serving atomic.Bool // usable, clients are accepted, and the end has not begun
+	takes   atomic.Bool // clients are to come: a backend may be sent to, or was waited for
+	serving atomic.Bool // a backend may be sent to, clients are accepted, and the end has not begun
 
 	mu       sync.Mutex
 	emptying atomic.Bool        // clients are sent away; set under mu
@@ -116,7 +116,7 @@
 
 // ready tells the front once a backend may be sent to.
 func (f *front) ready() {
-	f.usable.Store(true)
+	f.takes.Store(true)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.serving.Store(!f.ending)
@@ -226,7 +226,7 @@
 		w.Header().Set("Connection", "close")
 	}
 	if req.URL.Path == "/-/ready" {
-		if f.usable.Load() && !f.emptying.Load() {
+		if f.takes.Load() && !f.emptying.Load() {
 			w.WriteHeader(http.StatusOK)
 		} else {
 			// Not a request of the protocol's, so no refusal either.
