Have each of many new agents begin with its part of what servers bear

Summed over the 303 agents' figures: the 212 that start anew at 13 s have 2,600 attempts out at 197 servers within a second, which tip (1,812 turned away) and then serve 1,200 a second where they served 4,800.

Cause: New gave the agent a room without bound until its first cut, and windows of two at each server bound 600 of 300 agents at each. sense moves the room only after 50 answers, 12 s of so small an agent.

Change: each listed server brings firstShare (8) x its ramp / (agents - 8) of first room: up to eight agents are bound by their windows alone, as before. What is sent while it is under one is not paced before a first cut. TestManyNewAgentsShareWhatServersBear fails without the change.

--- a/internal/policytest/scenario_test.go
+++ b/internal/policytest/scenario_test.go
@@ -1523,3 +1523,32 @@
 		t.Errorf("answers in 0.9 of the aim were taken for calm: the window grew from %.1f to %.1f", before, w)
 	}
 }
+
+// Of very many agents that start at once each has no more out than its part of what all servers
+// are first trusted with, eight each, less where they are cold; of eight the windows bound it.
+func TestManyNewAgentsShareWhatServersBear(t *testing.T) {
+	for _, c := range []struct {
+		agents, cold, most int
+	}{{8, 0, 40}, {108, 0, 17}, {108, 100, 10}} {
+		set := testSettings()
+		set.Replicas = c.agents
+		r := newRig(t, set, 0)
+		entries := make([]Entry, 200)
+		for i := range entries {
+			entries[i] = Entry{Server: addr(i), Health: Ready, Weight: 1}
+			if i < c.cold {
+				entries[i].SinceMs = r.now
+			}
+		}
+		r.list(ListCached, entries...)
+		sent := 0
+		for range 40 {
+			if _, actions := r.ask(0, r.rng.Uint64()|1); find(actions, ActSend) != nil {
+				sent++
+			}
+		}
+		if sent > c.most || sent < c.most/2 {
+			t.Errorf("one of %d new agents, %d of 200 servers cold, has %d out, want %d at the most", c.agents, c.cold, sent, c.most)
+		}
+	}
+}
--- a/policy/health.go
+++ b/policy/health.go
@@ -13,11 +13,10 @@
 // servers' limit, all are crowded, and each agent sees that within a second or so: it has
 // less out, by steps that it waits to see the effect of, until they are not.
 func (b *Balancer) sense(a *attempt, crowded bool) {
-	x := 0.0
+	b.over -= crowdSmooth * b.over
 	if crowded {
-		x = 1
+		b.over += crowdSmooth
 	}
-	b.over += crowdSmooth * (x - b.over)
 	out := float64(b.inflight - b.lost() + 1)
 	switch {
 	case b.over > 0.5 && a.sentAt >= b.roomCutAt:
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -83,7 +83,7 @@
 func New(set Settings, seed uint64) (*Balancer, error) {
 	b := &Balancer{rng: rand.New(rand.NewPCG(seed, mix(seed))), byAddr: map[Addr]*server{},
 		requests: map[RequestID]*request{}, keys: map[uint64]float64{}, mayProbe: probeCap,
-		own: ownLeast, room: math.Inf(1), again: againMost, tried: shedMemory / 2, gained: shedMemory / 2,
+		own: ownLeast, again: againMost, tried: shedMemory / 2, gained: shedMemory / 2,
 		lookedAt: math.Inf(-1)}
 	return b, b.Retune(set)
 }
