--- a/policy/admit.go
+++ b/policy/admit.go
@@ -139,7 +139,8 @@
 
 // roomFor bounds what is out at all servers, as a window bounds what is at one.
 func (b *Balancer) roomFor(out int) bool {
-	return float64(out) < max(b.room, 1) && (b.room >= 1 || b.roomCutAt == 0 || b.now-b.sentAt >= b.calmLat*b.aimMin/b.room)
+	return float64(out) < max(b.room, 1) &&
+		(b.room >= 1 || b.roomCutAt == 0 || b.now-b.sentAt >= b.calmLat*b.aimMin/b.room)
 }
 
 // easeLimit is the part of the aim over which the median answer of all servers means a
--- a/policy/validate.go
+++ b/policy/validate.go
@@ -141,7 +141,5 @@
 		s.credit = b.rng.Float64()
 	}
 	s.zone, s.cell, s.usable = e.Zone, e.Cell, e.Health == Ready
-	if s.weight = Finite(e.Weight); s.weight <= 0 {
-		s.weight = 1
-	}
+	s.weight = cmp.Or(max(Finite(e.Weight), 0), 1)
 }
