Test the crossings of connections and ends that proved safe

Half a line on an idle server's connection, a client that leaves in its body, a request read after the end and small writes at a close were suspects; each passes on the program as it is.

--- a/internal/agent/crossing_test.go
+++ b/internal/agent/crossing_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -136,3 +137,87 @@
 	})
 	until(t, "operators are told", func() bool { return a.call("GET", "/ops/readiness") == 200 })
 }
+
+// Half a line that a server sends on an idle connection spoils it: the next request takes another.
+func TestHalfALineOnAnIdleConnectionIsNobodys(t *testing.T) {
+	more := make(chan struct{})
+	a, b := one(t, func(c net.Conn, req *http.Request, n int) bool {
+		if serving(c, req, n); n == 0 {
+			fmt.Fprint(c, "HTTP/1.1 2")
+			close(more)
+		}
+		return true
+	})
+	for i := range 2 {
+		status, _, _ := a.ask(newRequest(a.addr, "order", "x"))
+		wantStatus(t, status, 200)
+		if i == 0 {
+			<-more
+			time.Sleep(2 * settleTime)
+		}
+	}
+	if b.count() != 2 {
+		t.Errorf("%d arrivals, want 2", b.count())
+	}
+}
+
+// A client that leaves in the middle of a body that is kept has sent no request: nothing is sent on.
+func TestClientThatLeavesInItsBodyIsNotSentOn(t *testing.T) {
+	a, b := one(t, serving)
+	c := a.dial()
+	fmt.Fprint(c, "POST /api/a HTTP/1.1\r\nHost: x\r\nRequest-Id: 1\r\nRequest-Class: order\r\nRequest-Timeout-Ms: 4000\r\nContent-Length: 9\r\n\r\nhalf")
+	c.Close()
+	a.noneOpen(t)
+	until(t, "it is counted", func() bool { return a.figures().rejected == 1 })
+	if f := a.figures(); b.begun() != 0 || f.taken != 0 {
+		t.Errorf("%d arrivals, figures %+v", b.begun(), f)
+	}
+}
+
+// A request that is read once the process takes none any more is refused, on its connection, and
+// not sent on.
+func TestRequestReadAfterTheEndIsRefused(t *testing.T) {
+	a, b := one(t, serving)
+	c := a.dial()
+	if c.ask(t).StatusCode != 200 {
+		t.Fatal("not served")
+	}
+	a.front.closed.Store(true)
+	if resp := c.ask(t); resp.StatusCode != 503 {
+		t.Errorf("answered %d, want a refusal", resp.StatusCode)
+	}
+	if b.count() != 1 {
+		t.Errorf("%d arrivals, want 1", b.count())
+	}
+}
+
+// What is written last goes out with its connection's end: the system holds back no small writes,
+// neither of clients' connections nor of servers'.
+func TestSmallWritesAreNotHeldBack(t *testing.T) {
+	noDelay := func(nc net.Conn) (set bool) {
+		raw, err := nc.(*net.TCPConn).SyscallConn()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := raw.Control(func(fd uintptr) {
+			v, err := syscall.GetsockoptInt(int(fd), syscall.IPPROTO_TCP, syscall.TCP_NODELAY)
+			set = err == nil && v != 0
+		}); err != nil {
+			t.Fatal(err)
+		}
+		return set
+	}
+	if _, c := clientPair(t); !noDelay(c.Conn) {
+		t.Error("small writes to clients are held back")
+	}
+	p := &pool{budget: newBudget(&Config{MemoryMB: 64}), connectTimeout: patience, keepalive: time.Minute, max: 8, idle: map[string][]*conn{}}
+	b := newBackend(t, serving)
+	cn, err := p.get(t.Context(), b.addr, time.Now().Add(patience))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer p.close(cn)
+	if !noDelay(cn.Conn) {
+		t.Error("small writes to servers are held back")
+	}
+}
