--- a/internal/policytest/scenario_test.go
+++ b/internal/policytest/scenario_test.go
@@ -1525,11 +1525,11 @@
 }
 
 // Of very many agents that start at once each has no more out than its part of what all servers
-// are first trusted with, eight each, less where they are cold; of eight the windows bound it.
+// are first trusted with, six each, less where they are cold; of eight the windows bound it.
 func TestManyNewAgentsShareWhatServersBear(t *testing.T) {
 	for _, c := range []struct {
 		agents, cold, most int
-	}{{8, 0, 40}, {108, 0, 17}, {108, 100, 10}} {
+	}{{8, 0, 40}, {108, 0, 12}, {108, 100, 8}} {
 		set := testSettings()
 		set.Replicas = c.agents
 		r := newRig(t, set, 0)
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -23,9 +23,9 @@
 	calmSamples = 8
 	// lostAfter is how many answer times of its server make an overtaken attempt a lost one.
 	lostAfter = 6.0
-	// firstWindow is what an unmeasured server may hold of one of many agents, firstShare of
-	// all of few: on two cores it works on six at once, as requests wait for others meanwhile.
-	firstWindow, firstShare = 2, 8
+	// firstWindow is what an unmeasured server may hold of one of many agents, firstShare of all of
+	// few, firstRoom of all of many: on two cores it works on six at once, as requests wait for others.
+	firstWindow, firstShare, firstRoom = 2, 8, 6.0
 	// learnFor is the number of answers that first measure calm; until then no window grows.
 	learnFor = 50
 	// leastWindow is left to a server however crowded it is: enough to see when it is not.
--- a/policy/validate.go
+++ b/policy/validate.go
@@ -124,7 +124,7 @@
 			startedAt: since, listedAt: since}
 		s.window = float64(max(firstWindow, firstShare/max(b.set.Replicas, 1)))
 		b.byAddr[s.id] = s
-		b.room += firstShare * b.ramp(s) / max(float64(b.set.Replicas-firstShare), 0)
+		b.room += firstRoom * b.ramp(s) / max(float64(b.set.Replicas-firstShare), 0)
 		s.credit = b.rng.Float64()
 		i, _ := slices.BinarySearchFunc(b.servers, s, func(x, y *server) int {
 			return cmp.Compare(x.id.Uint64(), y.id.Uint64())
