--- a/internal/agent/backend.go
+++ b/internal/agent/backend.go
@@ -87,9 +87,10 @@
 		time.Since(c.made).Milliseconds(), c.idled.Milliseconds())
 }
 
-var errGone = errors.New("client left")
-
-var errTooMany = errors.New("no descriptor left for a connection")
+var (
+	errGone    = errors.New("client left")
+	errTooMany = errors.New("no descriptor left for a connection")
+)
 
 func newPool(c *Config) *pool {
 	p := &pool{max: c.backendConns(), budget: newBudget(c), idle: map[string][]*conn{}}
@@ -225,21 +226,10 @@
 	if ctx.Err() != nil {
 		return result{status: events.ConnectFailed}, false
 	}
-	req := m.request(time.Until(deadline))
-	// The connect may have taken long: the drain grace runs from the telling, so
-	// nothing is begun on a backend that was told to drain meanwhile.
-	if b.closed.Load() {
-		reusable = true
-		return result{status: events.ConnectFailed, why: "drains or gone"}, false
-	}
-	if !m.sendBy.IsZero() && time.Now().After(m.sendBy) {
-		reusable = true
-		return result{status: events.Moot, why: "the time for repeats is over"}, false
-	}
-	if m.gone != nil && m.gone() {
-		reusable = true
-		return result{status: events.Moot, why: errGone.Error(), client: errGone}, false
+	if r, reusable = m.barred(b); reusable {
+		return r, false
 	}
+	req := m.request(time.Until(deadline))
 	if m.long != nil {
 		return p.long(ctx, cn, b, m, req, &reusable)
 	}
@@ -259,6 +249,21 @@
 	return r, false
 }
 
+// barred tells whether the message must not be begun at b any more, and how its attempt ends. The
+// connect may have taken long: the drain grace runs from the telling, backends drop repeats for a
+// time only, and the client may have left meanwhile.
+func (m *message) barred(b *backend) (r result, yes bool) {
+	switch {
+	case b.closed.Load():
+		return result{status: events.ConnectFailed, why: "drains or gone"}, true
+	case !m.sendBy.IsZero() && time.Now().After(m.sendBy):
+		return result{status: events.Moot, why: "the time for repeats is over"}, true
+	case m.gone != nil && m.gone():
+		return result{status: events.Moot, why: errGone.Error(), client: errGone}, true
+	}
+	return result{}, false
+}
+
 // long makes the exchange of a long message: it is written as it comes from the client, and
 // an answer that is there before its end ends it.
 func (p *pool) long(ctx context.Context, cn *conn, b *backend, m *message, req *http.Request, reusable *bool) (r result, unsent bool) {
--- a/internal/agent/discovery_test.go
+++ b/internal/agent/discovery_test.go
@@ -119,13 +119,9 @@
 			nextCall(t, calls)
 			nextCall(t, calls)
 			from := time.Now()
-			for known := false; !known; time.Sleep(5 * time.Millisecond) {
-				got := make(chan bool)
-				a.loop.post(func() { got <- a.loop.table.byID["s-1"].closed.Load() })
-				if known = <-got; time.Since(from) > patience {
-					t.Fatal("the change is never known")
-				}
-			}
+			until(t, "the change is known", func() bool {
+				return inLoop(a, func(l *loop) bool { return l.table.byID["s-1"].closed.Load() })
+			})
 			if took := time.Since(from); took > toldWithin {
 				t.Errorf("the change was known after %v", took)
 			}
@@ -235,12 +231,10 @@
 			if c, past := nextCall(t, calls), strings.Contains(name, "past"); c.index != map[bool]string{true: "0", false: "50"}[past] {
 				t.Errorf("asked again from %s", c.index)
 			}
-			got := make(chan bool)
-			a.loop.post(func() {
-				b := a.loop.table.byID["s-1"]
-				got <- b != nil && !b.closed.Load() && a.loop.version == 50
-			})
-			if !<-got {
+			if !inLoop(a, func(l *loop) bool {
+				b := l.table.byID["s-1"]
+				return b != nil && !b.closed.Load() && l.version == 50
+			}) {
 				t.Error("the list has changed")
 			}
 		})
@@ -270,19 +264,12 @@
 	d := newDiscoveryServer(t, target("s-1", "127.0.0.1:1"))
 	d.list.Version = 50
 	a := startAgent(t, d, func(c *Config) { c.Discovery, c.Settings.Membership = addr, "pushed" })
-	for end := time.Now().Add(patience); ; time.Sleep(time.Millisecond) {
-		got := make(chan bool)
-		a.loop.post(func() {
-			ids := a.loop.table.byID
-			got <- len(ids) == 2 && ids["s-2"] != nil && ids["s-3"] != nil && a.loop.version == 3
+	until(t, "the list of the discovery that started again is followed", func() bool {
+		return inLoop(a, func(l *loop) bool {
+			ids := l.table.byID
+			return len(ids) == 2 && ids["s-2"] != nil && ids["s-3"] != nil && l.version == 3
 		})
-		if <-got {
-			break
-		}
-		if time.Now().After(end) {
-			t.Fatal("the list of the discovery that started again is not followed")
-		}
-	}
+	})
 	mu.Lock()
 	defer mu.Unlock()
 	if !slices.Equal(asked[:3], []string{"50", "0", "2"}) {
--- a/internal/agent/fakes_test.go
+++ b/internal/agent/fakes_test.go
@@ -353,15 +353,30 @@
 
 // figures reads the loop's counts, in the loop.
 func (a *testAgent) figures() figures {
-	got := make(chan figures, 1)
-	a.loop.post(func() {
-		f := a.loop.figures
+	return inLoop(a, func(l *loop) figures {
+		f := l.figures
 		f.ends, f.probes = maps.Clone(f.ends), maps.Clone(f.probes)
-		got <- f
+		return f
 	})
+}
+
+// inLoop returns what f reads, in the loop.
+func inLoop[T any](a *testAgent, f func(l *loop) T) T {
+	got := make(chan T, 1)
+	a.loop.post(func() { got <- f(a.loop) })
 	return <-got
 }
 
+// until waits for something that comes about by itself.
+func until(t *testing.T, what string, is func() bool) {
+	t.Helper()
+	for end := time.Now().Add(patience); !is(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("never came about: ", what)
+		}
+	}
+}
+
 // logged makes the agent hand its log lines to the test, as text.
 func (a *testAgent) logged(t *testing.T) <-chan string {
 	t.Helper()
--- a/internal/agent/leave_test.go
+++ b/internal/agent/leave_test.go
@@ -20,16 +20,6 @@
 	return func() { close(blocked) }
 }
 
-// until waits for something that comes about by itself.
-func until(t *testing.T, what string, is func() bool) {
-	t.Helper()
-	for end := time.Now().Add(patience); !is(); time.Sleep(time.Millisecond) {
-		if time.Now().After(end) {
-			t.Fatal("never came about: ", what)
-		}
-	}
-}
-
 // noneOpen waits until the server knows that all clients' connections have ended.
 func (a *testAgent) noneOpen(t *testing.T) {
 	t.Helper()
@@ -160,9 +150,7 @@
 			c := a.dial()
 			fmt.Fprint(c, text)
 			until(t, "the ninth waits", func() bool {
-				held := make(chan int)
-				a.loop.post(func() { held <- a.loop.balancer.View().Held })
-				return <-held == 1
+				return inLoop(a, func(l *loop) int { return l.balancer.View().Held }) == 1
 			})
 			if name == "a further byte" {
 				fmt.Fprint(c, "X")
--- a/internal/agent/loop.go
+++ b/internal/agent/loop.go
@@ -455,7 +455,7 @@
 	}
 	why := ""
 	if !r.answered && r.call.ctx.Err() != nil {
-		why = "client left" // the front's word of it is on its way
+		why = errGone.Error() // the front's word of it is on its way
 		l.depart(r)
 	} else if why = l.forbidden(r, b, now, until); why != "" {
 		l.guard(why, "id", r.call.id)
--- a/internal/agent/management_test.go
+++ b/internal/agent/management_test.go
@@ -146,9 +146,7 @@
 
 func TestOperatorsDoNotWaitForTheLoop(t *testing.T) {
 	a, _ := one(t, serving)
-	release := make(chan struct{})
-	a.loop.post(func() { <-release })
-	defer close(release)
+	defer a.hold()()
 	wantStatus(t, a.call("GET", "/ops/readiness"), 200)
 	wantStatus(t, a.call("PUT", "/ops/drain/start"), 200)
 	wantStatus(t, a.asksReady(), 503)
@@ -156,33 +154,15 @@
 
 // A connection that is to leave ends only if no request has come on it.
 func TestLeavingCrossesNoRequest(t *testing.T) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer ln.Close()
-	pair := func() (net.Conn, *clientConn) {
-		client, err := net.Dial("tcp", ln.Addr().String())
-		if err != nil {
-			t.Fatal(err)
-		}
-		t.Cleanup(func() { client.Close() })
-		c, err := newClientListener(ln, newQuota(8)).Accept()
-		if err != nil {
-			t.Fatal(err)
-		}
-		t.Cleanup(func() { c.Close() })
-		return client, c.(*clientConn)
-	}
 	buf := make([]byte, 10)
 
-	_, c := pair()
+	_, c := clientPair(t)
 	c.leave()
 	if _, err := c.Read(buf); !errors.Is(err, os.ErrDeadlineExceeded) {
 		t.Errorf("nothing has come: %v", err)
 	}
 
-	client, c := pair()
+	client, c := clientPair(t)
 	client.Write([]byte("GET"))
 	for alive(c.Conn) { // until it has arrived
 		time.Sleep(time.Millisecond)
--- a/internal/policytest/ramp_test.go
+++ b/internal/policytest/ramp_test.go
@@ -131,6 +131,15 @@
 	d.hand(a, Event{Kind: EvList, List: ListCached, Entries: d.entries})
 }
 
+// restartMost starts seven in ten agents anew at once.
+func (d *fleetDay) restartMost() {
+	for i := range d.agents {
+		if i%10 < 7 {
+			d.start(i)
+		}
+	}
+}
+
 func (d *fleetDay) hand(a *dayAgent, ev Event) { d.act(a, a.b.Handle(d.now, &ev, nil)) }
 
 // cold starts servers anew, and tells all agents.
@@ -277,11 +286,7 @@
 		{"agents restarted", 0.7, func(d *fleetDay) {
 			d.cold(fifth(d)...)
 			d.run(1000)
-			for i := range d.agents {
-				if i%10 < 7 {
-					d.start(i)
-				}
-			}
+			d.restartMost()
 			d.run(20000)
 		}},
 		{"uneven", 0.7, func(d *fleetDay) {
@@ -336,11 +341,7 @@
 			d.run(6000)
 		}},
 		{"surge, seven in ten agents new", 0.2, func(d *fleetDay) {
-			for i := range d.agents {
-				if i%10 < 7 {
-					d.start(i)
-				}
-			}
+			d.restartMost()
 			d.cold(fifth(d)...)
 			d.run(2000)
 			d.perMs *= 10
@@ -363,11 +364,7 @@
 		{"all cold, agents restarted", 0.7, func(d *fleetDay) {
 			d.cold(all(d)...)
 			d.run(1000)
-			for i := range d.agents {
-				if i%10 < 7 {
-					d.start(i)
-				}
-			}
+			d.restartMost()
 			d.run(20000)
 		}},
 	}
