Run many agents in one process, hollow where nobody listens, and count discovery's bytes

What stood against it was the default logger in loop, front, door, share and fleet, the memory limit set from within, calls to discovery that all came from one address, and that a process's end closed what Run had left open.

agent.New, Agent.Run, Kill and Status; Run(stop, cfg, ln, reloads) is New and Run. Listeners without Clients make it hollow: the same code, with a listener to which nobody comes. Config gets Log, Hooks (OnList, OnSettings, OnMemoryLimit) and CallFrom, none of them in the file; ParseConfig and ParseReload read bytes. At Run's return all sockets are closed; Kill closes them at once and tells nobody (fleet.Kill). Bytes of calls to discovery are counted at their connections and stand at the end of the line figures (listIn, listOut, listCalls); the view's traffic tells streams_out, and counts the four bytes before each message on streams also where it receives them.

--- a/cmd/ringtrack/main.go
+++ b/cmd/ringtrack/main.go
@@ -40,6 +40,7 @@
 	// before the memory limit, over which the agent would be killed.
 	debug.SetGCPercent(400)
 	debug.SetMemoryLimit(cfg.MemoryLimit())
+	cfg.Hooks.OnMemoryLimit = func(bytes int64) { debug.SetMemoryLimit(bytes) }
 	stop, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer cancel()
 	ln, err := listen(cfg, os.Getenv("PROXY_LISTEN_FD"))
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
-	"log/slog"
+	"math"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"clayproxy.example/clayproxy/internal/fleet"
@@ -13,6 +15,7 @@
 
 // Listeners are what one agent listens on.
 type Listeners struct {
+	// Clients is where clients come; nil: nowhere, and all else of the agent runs (it is hollow).
 	Clients net.Listener
 	// Shared tells that other processes accept from the clients' queue too: it
 	// outlives this process.
@@ -23,6 +26,25 @@
 	Operators net.Listener
 }
 
+// Agent is one agent. Many may run in one process.
+type Agent struct {
+	cfg     *Config
+	ln      Listeners
+	clients clientListener
+	front   *front
+	loop    *loop
+	stop    context.CancelFunc // of the loop, and of all that has its context
+	ended   chan struct{}      // closed once the loop has
+	usable  chan struct{}      // closed once a backend may be sent to
+	view    atomic.Pointer[fleet.Fleet]
+	door    *management
+	killed  context.Context
+	kill    context.CancelFunc
+}
+
+// ErrKilled is what Run returns after Kill.
+var ErrKilled = errors.New("agent: killed")
+
 // Run serves until stop is done, then ends in order. It returns nil when every
 // request that was held has been answered. Each configuration that comes on reloads
 // replaces the settings and the address of discovery; the rest takes effect at a start only.
@@ -32,51 +54,103 @@
 
 // run is Run, which also hands out the parts before they start.
 func run(stop context.Context, cfg *Config, ln Listeners, reloads <-chan *Config, made func(*front, *loop)) error {
-	ctx, cancel := context.WithCancel(context.Background())
-	defer cancel() // only after the front: requests held need the loop to the end
-	f := newFront(cfg)
-	usable := make(chan struct{})
-	l, err := newLoop(ctx, cfg, sync.OnceFunc(func() { close(usable) }))
+	a, err := New(cfg, ln)
 	if err != nil {
-		return fmt.Errorf("agent: %w", err)
+		return err
+	}
+	made(a.front, a.loop)
+	return a.Run(stop, reloads)
+}
+
+// New makes an agent, whose listeners it takes over unless there is an error: a setting that the
+// module can't use, or a shared listener that is none.
+func New(cfg *Config, ln Listeners) (*Agent, error) {
+	if ln.Clients == nil {
+		if ln.Shared {
+			return nil, errors.New("agent: no listener to share")
+		}
+		ln.Clients = newNoClients()
+	}
+	a := &Agent{cfg: cfg, ln: ln, front: newFront(cfg), ended: make(chan struct{}), usable: make(chan struct{})}
+	ctx, stop := context.WithCancel(context.Background())
+	a.stop = stop
+	var err error
+	if a.loop, err = newLoop(ctx, cfg, sync.OnceFunc(func() { close(a.usable) })); err != nil {
+		stop()
+		return nil, fmt.Errorf("agent: %w", err)
 	}
-	f.loop = l
-	made(f, l)
-	ended := make(chan struct{})
+	a.front.loop = a.loop
+	a.clients = newClientListener(ln.Clients, a.front.conns.slots)
+	a.killed, a.kill = context.WithCancel(context.Background())
+	return a, nil
+}
+
+// Run is the agent's life, of which it has one: it serves until stop is done, then ends in order,
+// as the function Run says. At its return all sockets are closed. After Kill it returns ErrKilled.
+func (a *Agent) Run(stop context.Context, reloads <-chan *Config) error {
 	go func() {
-		defer close(ended)
-		l.run()
+		defer close(a.ended)
+		a.loop.run()
 	}()
-	view, err := joinFleet(cfg, f, l)
+	view, err := joinFleet(a.cfg, a.front, a.loop)
+	a.view.Store(view)
+	a.door = newManagement(a.front, view, a.cfg.operatorConns(1))
+	a.door.logTo(a.cfg.logger())
+	end := sync.OnceFunc(a.end)
+	defer end()
+	defer context.AfterFunc(a.killed, end)()
 	if err != nil {
 		return fmt.Errorf("agent: %w", err)
 	}
+	share := &shares{cfg: a.cfg, door: a.door, conns: a.front.conns, pool: a.loop.pool,
+		quotas: []quota{a.front.conns.slots, a.front.budget, a.loop.pool.budget}}
+	held, err := a.serve(stop, reloads, share)
+	if err != nil {
+		return err
+	}
+	if a.ln.Shared {
+		share.halve(a.loop.ctx) // the other process is there, or comes
+	}
+	left := leaveFleet(view)
+	err = a.front.shutdown(a.clients, a.ln.Shared, held)
+	if a.killed.Err() != nil {
+		return ErrKilled
+	}
+	if err != nil {
+		a.cfg.logger().Warn("shutdown", "err", err)
+	}
+	<-left
+	a.stop() // only after the front: requests held need the loop to the end
+	<-a.ended
+	a.cfg.logger().Info("stopped", "figures", fmt.Sprintf("%+v", *a.loop.counts()))
+	return nil
+}
+
+// serve serves until stop is done, and tells how long requests are held from then on.
+func (a *Agent) serve(stop context.Context, reloads <-chan *Config, share *shares) (held time.Duration, err error) {
 	failed := make(chan error, 2)
-	m := newManagement(f, view, cfg.operatorConns(1))
-	defer m.close()
-	if ln.Operators != nil {
-		go func() { failed <- m.serve(ln.Operators) }()
+	if a.ln.Operators != nil {
+		go func() { failed <- a.door.serve(a.ln.Operators) }()
 	}
-	share := &shares{cfg: cfg, door: m, conns: f.conns, pool: l.pool, quotas: []quota{f.conns.slots, f.budget, l.pool.budget}}
-	if ln.Shared {
+	if a.ln.Shared {
 		// Before the first client, so that what the other process has is left to it.
-		if err := share.takeTurn(ctx, ln.Lock); err != nil {
-			return fmt.Errorf("agent: %w", err)
+		if err := share.takeTurn(a.loop.ctx, a.ln.Lock); err != nil {
+			return 0, fmt.Errorf("agent: %w", err)
 		}
 	}
-	clients := newClientListener(ln.Clients, f.conns.slots)
-	serve := func() { failed <- f.serve(clients) }
-	if !ln.Shared {
+	serve := func() { failed <- a.front.serve(a.clients) }
+	if !a.ln.Shared {
 		// Until a backend is known clients are answered that it is not.
 		go serve()
 		serve = nil
 	}
 	var waited <-chan time.Time
-	if !ln.Shared { // there the process that still serves knows more
+	if !a.ln.Shared { // there the process that still serves knows more
 		waited = time.After(firstListWait)
 	}
-	held := cfg.heldFor()
-	for serving := true; serving; {
+	usable := a.usable
+	held = a.cfg.heldFor()
+	for {
 		select {
 		case <-usable:
 			// From a shared queue nothing is taken before it can be served: the process
@@ -84,32 +158,73 @@
 			if serve != nil {
 				go serve()
 			}
-			f.ready()
+			a.front.ready()
 			usable = nil
 		case <-waited:
-			f.takes.Store(true)
+			a.front.takes.Store(true)
 		case err := <-failed:
-			return err
+			if a.killed.Err() != nil {
+				err = ErrKilled
+			}
+			return 0, err
 		case c := <-reloads:
 			held = max(held, c.heldFor()) // what is open keeps its old deadline
-			f.retune(c)
-			l.post(func() { l.reload(c) })
+			a.front.retune(c)
+			a.loop.post(func() { a.loop.reload(c) })
+		case <-a.killed.Done():
+			return 0, ErrKilled
 		case <-stop.Done():
-			serving = false
+			return held, nil
 		}
 	}
-	if ln.Shared {
-		share.halve(ctx) // the other process is there, or comes
+}
+
+// Kill ends the agent as SIGKILL would: its sockets are closed at once, and nothing is told to
+// anybody. It does not wait; Run returns once all has ended. It may be called at any time.
+func (a *Agent) Kill() { a.kill() }
+
+// end closes whatever is open, clients first: a request that the loop's end cut off must not
+// look answered.
+func (a *Agent) end() {
+	a.clients.Close()
+	a.front.server.Close()
+	if a.ln.Operators != nil {
+		a.ln.Operators.Close() // where it has not been served yet
 	}
-	left := leaveFleet(view)
-	if err := f.shutdown(clients, ln.Shared, held); err != nil {
-		slog.Warn("shutdown", "err", err)
+	a.door.close()
+	a.stop()
+	a.loop.disc.close()
+	a.loop.pool.end()
+	if view := a.view.Load(); view != nil {
+		view.Kill()
 	}
-	<-left
-	cancel()
-	<-ended
-	slog.Info("stopped", "figures", fmt.Sprintf("%+v", l.figures))
-	return nil
+	<-a.ended
+}
+
+// Status is what an agent has counted and knows.
+type Status struct {
+	// Fleet is the view; nil: there is none.
+	Fleet *fleet.Status
+	// ListVersion is the list's that is in force, and Servers what it lists.
+	ListVersion uint64
+	Servers     int
+	// SettingsVersion is the settings' that are in force; 0: they came from a file.
+	SettingsVersion uint64
+	// ListIn and ListOut are bytes of calls to discovery, their heads counted, and ListCalls the
+	// calls, since the start.
+	ListIn, ListOut, ListCalls uint64
+}
+
+// Status tells the agent's counts; it never waits for its work.
+func (a *Agent) Status() Status {
+	n, l := &a.loop.disc.count, &a.loop.shown
+	s := Status{ListVersion: l.version.Load(), Servers: int(l.servers.Load()),
+		ListIn: n.in.Load(), ListOut: n.out.Load(), ListCalls: n.calls.Load()}
+	if view := a.view.Load(); view != nil {
+		status := view.Status(math.MaxUint64)
+		s.Fleet = &status
+	}
+	return s
 }
 
 // joinFleet begins to take part in the fleet view, where the configuration has one. The loop
@@ -119,6 +234,7 @@
 		return nil, nil
 	}
 	c := *cfg.Fleet
+	c.Log = cfg.logger()
 	c.OnView = func(v *fleet.View) { l.post(func() { l.onFleet(v) }) }
 	view, err := fleet.Start(c)
 	if err == nil {
--- a/internal/agent/backend.go
+++ b/internal/agent/backend.go
@@ -66,6 +66,7 @@
 	keepalive      time.Duration // idle connections older than this are not used again
 
 	idle  map[string][]*conn // by address, the most recently used last
+	ended bool               // nothing is kept any more
 	open  int
 	tried int // connects since the start
 	times idleTimes
@@ -530,7 +531,7 @@
 	cn.since = time.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if b.closed.Load() {
+	if b.closed.Load() || p.ended {
 		p.open--
 		cn.Close()
 		return
@@ -591,6 +592,14 @@
 	delete(p.idle, addr)
 }
 
+// end closes what idles, and what falls idle from now on.
+func (p *pool) end() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for p.ended = true; p.evict(); {
+	}
+}
+
 // sweep closes connections that have idled too long.
 func (p *pool) sweep() {
 	p.mu.Lock()
--- a/internal/agent/config.go
+++ b/internal/agent/config.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"log/slog"
 	"maps"
 	"math"
 	"net"
@@ -34,9 +35,39 @@
 	// Fleet is how this agent and the others keep a view of each other; nil: they do not.
 	Fleet *fleet.Config
 
+	// What follows is no part of the file: who runs the agent sets it, before the start.
+
+	// Log takes the agent's lines; nil: slog.Default().
+	Log *slog.Logger
+	// Hooks are told what happens.
+	Hooks Hooks
+	// CallFrom is the address that calls to discovery come from; nil: the system's choice.
+	CallFrom net.IP
+
 	text map[string]any // the file, to compare the next with
 }
 
+// Hooks are called when something has happened, each where it is not nil, from goroutines of the
+// agent's own: one that waits holds up the agent.
+type Hooks struct {
+	// OnList is told each version of the list once the module has it: the one known at the start
+	// too, if it has one, and of two answers of one version the first.
+	OnList func(version uint64)
+	// OnSettings is told when other settings are in force, and their version: 0 for those that a
+	// reload brought, as a file has none.
+	OnSettings func(version uint64)
+	// OnMemoryLimit is told the bytes that the process should keep within from now on, where it
+	// shares its limits with another.
+	OnMemoryLimit func(bytes int64)
+}
+
+func (c *Config) logger() *slog.Logger {
+	if c.Log == nil {
+		return slog.Default()
+	}
+	return c.Log
+}
+
 // file is the form of $PROXY_CONFIG.
 type file struct {
 	Name       string `json:"name"`
@@ -84,6 +115,29 @@
 	if err != nil {
 		return nil, err
 	}
+	return f.after(now)
+}
+
+// ParseConfig reads a configuration of the form of $PROXY_CONFIG's file; an error names the key.
+func ParseConfig(text []byte) (*Config, error) {
+	f, err := parse(text)
+	if err != nil {
+		return nil, fmt.Errorf("config: %w", err)
+	}
+	return f.config()
+}
+
+// ParseReload reads such a configuration as ReloadConfig does, in place of the one in force.
+func ParseReload(text []byte, now *Config) (*Config, error) {
+	f, err := parse(text)
+	if err != nil {
+		return nil, fmt.Errorf("config: %w", err)
+	}
+	return f.after(now)
+}
+
+// after is the configuration that takes the place of now.
+func (f *file) after(now *Config) (*Config, error) {
 	if key := missing(now.text, f.text); key != "" {
 		return nil, fmt.Errorf("config: %s: missing, though it was there before", key)
 	}
@@ -156,10 +210,18 @@
 	if err != nil {
 		return nil, fmt.Errorf("config: %w", err)
 	}
+	f, err := parse(text)
+	if err != nil {
+		return nil, fmt.Errorf("config: %s: %w", path, err)
+	}
+	return f, nil
+}
+
+func parse(text []byte) (*file, error) {
 	f := new(file)
 	for _, to := range []any{f, &f.text} {
 		if err := json.Unmarshal(text, to); err != nil {
-			return nil, fmt.Errorf("config: %s: %w", path, err)
+			return nil, err
 		}
 	}
 	return f, nil
--- a/internal/agent/discovery.go
+++ b/internal/agent/discovery.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/time/rate"
@@ -54,6 +55,41 @@
 	client *http.Client
 	limit  *rate.Limiter
 	told   func(news)
+	// from is the address that calls come from; nil: the system's choice.
+	from  net.IP
+	count callCount
+	conns map[*countedConn]bool // open; nil once it is closed
+}
+
+// callCount counts what passes on the sockets of calls to discovery, since the start.
+type callCount struct {
+	in, out atomic.Uint64 // bytes, the heads of calls and answers with them
+	calls   atomic.Uint64
+}
+
+// countedConn counts its bytes.
+type countedConn struct {
+	net.Conn
+	d *discovery
+}
+
+func (c *countedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.d.count.in.Add(uint64(n))
+	return n, err
+}
+
+func (c *countedConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.d.count.out.Add(uint64(n))
+	return n, err
+}
+
+func (c *countedConn) Close() error {
+	c.d.mu.Lock()
+	delete(c.d.conns, c)
+	c.d.mu.Unlock()
+	return c.Conn.Close()
 }
 
 // news is what one call brought; a nil list is a failure.
@@ -91,15 +127,47 @@
 
 // newDiscovery makes the calls to addr, where version is known already.
 func newDiscovery(addr string, version uint64, told func(news)) *discovery {
-	dialer := net.Dialer{Timeout: callGrace}
-	return &discovery{
+	d := &discovery{
 		place: newPlace(addr, version),
-		client: &http.Client{Transport: &http.Transport{
-			DialContext: dialer.DialContext, MaxIdleConnsPerHost: 2, MaxConnsPerHost: 4,
-			IdleConnTimeout: time.Minute, DisableCompression: true,
-		}},
 		limit: rate.NewLimiter(callsPerS, callBurst),
 		told:  told,
+		conns: map[*countedConn]bool{},
+	}
+	d.client = &http.Client{Transport: &http.Transport{
+		DialContext: d.dial, MaxIdleConnsPerHost: 2, MaxConnsPerHost: 4,
+		IdleConnTimeout: time.Minute, DisableCompression: true,
+	}}
+	return d
+}
+
+func (d *discovery) dial(ctx context.Context, network, addr string) (net.Conn, error) {
+	dialer := net.Dialer{Timeout: callGrace}
+	if d.from != nil {
+		dialer.LocalAddr = &net.TCPAddr{IP: d.from}
+	}
+	nc, err := dialer.DialContext(ctx, network, addr)
+	if err != nil {
+		return nil, err
+	}
+	c := &countedConn{nc, d}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.conns == nil {
+		nc.Close()
+		return nil, net.ErrClosed
+	}
+	d.conns[c] = true
+	return c, nil
+}
+
+// close ends all connections; no call is answered any more.
+func (d *discovery) close() {
+	d.mu.Lock()
+	open := d.conns
+	d.conns = nil
+	d.mu.Unlock()
+	for c := range open {
+		c.Close()
 	}
 }
 
@@ -215,6 +283,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("discovery: %w", err)
 	}
+	d.count.calls.Add(1)
 	resp, err := d.client.Do(req)
 	if err != nil {
 		return nil, fmt.Errorf("discovery: %w", err)
--- a/internal/agent/front.go
+++ b/internal/agent/front.go
@@ -45,6 +45,7 @@
 type front struct {
 	loop    *loop
 	server  *http.Server
+	log     *slog.Logger
 	classes atomic.Pointer[classTable]
 	budget  quota // of requests' bodies
 	conns   *clientConns
@@ -63,7 +64,7 @@
 }
 
 func newFront(cfg *Config) *front {
-	f := &front{budget: newBudget(cfg)}
+	f := &front{budget: newBudget(cfg), log: cfg.logger()}
 	f.retune(cfg)
 	f.conns = newClientConns(cfg.clientConns())
 	f.server = &http.Server{
@@ -78,7 +79,7 @@
 		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
 			return context.WithValue(ctx, connKey{}, c)
 		},
-		ErrorLog: slog.NewLogLogger(slog.Default().Handler(), slog.LevelWarn),
+		ErrorLog: slog.NewLogLogger(f.log.Handler(), slog.LevelWarn),
 	}
 	return f
 }
@@ -199,7 +200,7 @@
 		case <-f.conns.none():
 			return nil
 		case <-over.C:
-			slog.Warn("connections of clients still open", "count", f.conns.size(), "after", held)
+			f.log.Warn("connections of clients still open", "count", f.conns.size(), "after", held)
 			then()
 			over.Reset(streamsFor)
 		}
@@ -476,6 +477,29 @@
 	return clientListener{ln, slots, open, stop}
 }
 
+// noClients is a listener to which nobody comes.
+type noClients struct {
+	closed context.Context
+	close  context.CancelFunc
+}
+
+func newNoClients() noClients {
+	closed, stop := context.WithCancel(context.Background())
+	return noClients{closed, stop}
+}
+
+func (l noClients) Accept() (net.Conn, error) {
+	<-l.closed.Done()
+	return nil, net.ErrClosed
+}
+
+func (l noClients) Close() error {
+	l.close()
+	return nil
+}
+
+func (l noClients) Addr() net.Addr { return &net.TCPAddr{} }
+
 func (l clientListener) Accept() (net.Conn, error) {
 	if err := l.slots.Acquire(l.open, 1); err != nil {
 		return nil, net.ErrClosed
--- a/internal/agent/loop.go
+++ b/internal/agent/loop.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"net/url"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/time/rate"
@@ -60,6 +61,8 @@
 	watching bool
 	fetching bool
 	ready    func()
+	told     uint64 // the version that was last told as in force
+	shown    shown
 	figures  figures
 	fleet    *fleet.View // nil: there is none
 }
@@ -78,6 +81,14 @@
 	lists, lines, unlisted int
 	// unlogged counts the lines that the log's bound left out.
 	unlogged int
+	// listIn and listOut count the bytes of calls to discovery, heads and all, and listCalls
+	// the calls.
+	listIn, listOut, listCalls uint64
+}
+
+// shown is what may be read of the loop from outside.
+type shown struct {
+	version, servers atomic.Uint64 // of the list
 }
 
 // call is a client's request as the front took it, and where its answer goes.
@@ -146,14 +157,16 @@
 	if err != nil {
 		return nil, err
 	}
+	log := cfg.logger()
 	now := time.Now()
 	own := *cfg // its settings change as the loop says
 	l := &loop{cfg: &own, ctx: ctx, balancer: balancer, table: newTable(cfg.Zones, cfg.Kinds),
-		pool: newPool(cfg), logger: slog.Default(), limit: rate.NewLimiter(5, 50), lines: make(chan func(), 64), inbox: make(chan func(), 4096),
+		pool: newPool(cfg), logger: log, limit: rate.NewLimiter(5, 50), lines: make(chan func(), 64), inbox: make(chan func(), 4096),
 		started: now, baseMs: float64(now.UnixMicro()) / 1000,
 		requests: map[events.RequestID]*request{}, ready: ready,
 		figures: figures{ends: map[events.Status]int{}, probes: map[events.Status]int{}}}
 	l.disc = newDiscovery(cfg.Discovery, cfg.Known.Version, func(n news) { l.post(func() { l.onList(n) }) })
+	l.disc.from = cfg.CallFrom
 	l.source = l.disc.at()
 	return l, nil
 }
@@ -587,6 +600,9 @@
 	l.pool.retune(cfg)
 	l.write(slog.LevelInfo, "settings taken over", "classes", len(cfg.Settings.Classes),
 		"max_attempts", cfg.Settings.Limits.MaxAttempts)
+	if told := l.cfg.Hooks.OnSettings; told != nil {
+		told(0)
+	}
 	if cfg.Discovery == l.cfg.Discovery {
 		return
 	}
@@ -651,6 +667,12 @@
 	for _, b := range gone {
 		l.table.forget(b)
 	}
+	l.shown.version.Store(list.Version)
+	l.shown.servers.Store(uint64(len(l.table.byID)))
+	if told := l.cfg.Hooks.OnList; told != nil && list.Version != l.told {
+		told(list.Version)
+	}
+	l.told = list.Version
 }
 
 // onFleet takes a new view of the fleet. Nothing rests on it yet but the log.
@@ -708,10 +730,17 @@
 	l.log(slog.LevelWarn, "request rejected", "id", id, "from", from, "status", status, "err", err)
 }
 
+// counts are the figures as they are now.
+func (l *loop) counts() *figures {
+	n := &l.disc.count
+	l.figures.listIn, l.figures.listOut, l.figures.listCalls = n.in.Load(), n.out.Load(), n.calls.Load()
+	return &l.figures
+}
+
 func (l *loop) logFigures() {
 	l.write(slog.LevelInfo, "figures", "open", l.open, "backend_conns", l.pool.size(), "connects", l.pool.connects(), "idle_limit", l.pool.idleLimit(),
 		"module", fmt.Sprintf("%+v", l.balancer.View()),
-		"counts", fmt.Sprintf("%+v", l.figures))
+		"counts", fmt.Sprintf("%+v", *l.counts()))
 }
 
 // mayLog bounds the lines a second, and counts what the bound left out.
--- a/internal/agent/management.go
+++ b/internal/agent/management.go
@@ -35,6 +35,7 @@
 type management struct {
 	front  *front
 	fleet  *fleet.Fleet // nil: there is none
+	log    *slog.Logger
 	server *http.Server
 
 	mu     sync.Mutex
@@ -51,7 +52,7 @@
 }
 
 func newManagement(f *front, fl *fleet.Fleet, most int) *management {
-	m := &management{front: f, fleet: fl, most: most}
+	m := &management{front: f, fleet: fl, most: most, log: slog.Default()}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /ops/readiness", m.readiness)
 	mux.HandleFunc("PUT /ops/drain/start", m.whole(f.startDrain))
@@ -65,12 +66,17 @@
 		WriteTimeout:   answerTime,
 		MaxHeaderBytes: 8 << 10,
 		ConnState:      m.track,
-		ErrorLog:       slog.NewLogLogger(slog.Default().Handler(), slog.LevelWarn),
 	}
 	m.server.SetKeepAlivesEnabled(false)
+	m.logTo(m.log)
 	return m
 }
 
+// logTo sets where lines go; it is called before serve.
+func (m *management) logTo(log *slog.Logger) {
+	m.log, m.server.ErrorLog = log, slog.NewLogLogger(log.Handler(), slog.LevelWarn)
+}
+
 // serve answers operators until close.
 func (m *management) serve(ln net.Listener) error {
 	if err := m.server.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
@@ -107,7 +113,7 @@
 		status = status.Brief()
 	}
 	if err := json.NewEncoder(w).Encode(status); err != nil {
-		slog.Warn("fleet view not told", "to", req.RemoteAddr, "err", err)
+		m.log.Warn("fleet view not told", "to", req.RemoteAddr, "err", err)
 	}
 }
 
@@ -118,7 +124,7 @@
 			http.Error(w, "the body can't be read", http.StatusBadRequest)
 			return
 		}
-		slog.Info("operators' call", "path", req.URL.Path, "from", req.RemoteAddr)
+		m.log.Info("operators' call", "path", req.URL.Path, "from", req.RemoteAddr)
 		if err := do(); err != nil {
 			http.Error(w, err.Error(), http.StatusConflict)
 			return
--- a/internal/agent/share.go
+++ b/internal/agent/share.go
@@ -3,9 +3,7 @@
 import (
 	"context"
 	"fmt"
-	"log/slog"
 	"os"
-	"runtime/debug"
 	"sync"
 	"syscall"
 	"time"
@@ -72,7 +70,9 @@
 
 // set puts the limits that are no quotas to a part of what the agent has.
 func (s *shares) set(part int) {
-	debug.SetMemoryLimit(s.cfg.MemoryLimit() / int64(part))
+	if told := s.cfg.Hooks.OnMemoryLimit; told != nil {
+		told(s.cfg.MemoryLimit() / int64(part))
+	}
 	s.pool.limit(s.cfg.backendConns() / part)
 	s.door.limit(s.cfg.operatorConns(part))
 }
@@ -87,7 +87,7 @@
 	locked := func() bool { return syscall.Flock(int(f.Fd()), syscall.LOCK_EX|syscall.LOCK_NB) == nil }
 	alone := locked()
 	if !alone {
-		slog.Info("another process of this agent is there", "limits", "half")
+		s.cfg.logger().Info("another process of this agent is there", "limits", "half")
 		s.halve(ctx)
 		s.conns.limit(s.cfg.clientConns() / 2)
 	}
@@ -100,7 +100,7 @@
 			case <-look.C:
 				if alone = locked(); alone {
 					s.whole()
-					slog.Info("this process is the agent's only one", "limits", "whole")
+					s.cfg.logger().Info("this process is the agent's only one", "limits", "whole")
 				}
 			case <-ctx.Done():
 				return
--- a/internal/fleet/config.go
+++ b/internal/fleet/config.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
+	"log/slog"
 	"math"
 	"net"
 	"net/netip"
@@ -64,6 +65,8 @@
 	// OnView is called with each new view, from a goroutine of the fleet's own, one at a
 	// time; nil: nobody is told.
 	OnView func(*View) `json:"-"`
+	// Log takes this process's lines; nil: slog.Default().
+	Log *slog.Logger `json:"-"`
 }
 
 // Parse reads the section "fleet" of the agent's configuration; an unknown key or a value
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -80,6 +80,8 @@
 	// exchanged is when lists were last exchanged with somebody; zero: never.
 	exchanged time.Time
 	leaving   bool
+	killed    bool
+	ending    sync.Mutex // held while memberlist leaves or shuts down: it does one after the other
 
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -102,7 +104,10 @@
 	}
 	var id [8]byte
 	rand.Read(id[:]) // never fails
-	f := &Fleet{cfg: cfg, process: hex.EncodeToString(id[:]), log: newLogger(slog.Default()),
+	if cfg.Log == nil {
+		cfg.Log = slog.Default()
+	}
+	f := &Fleet{cfg: cfg, process: hex.EncodeToString(id[:]), log: newLogger(cfg.Log),
 		told: make(chan struct{}, 1), known: make(chan struct{}), names: map[string]bool{}}
 	f.ctx, f.cancel = context.WithCancel(context.Background())
 	f.table = newTable(&f.cfg, f.process, time.Now())
@@ -258,14 +263,46 @@
 func (f *Fleet) Leave() {
 	f.mu.Lock()
 	f.leaving = true
+	killed := f.killed
 	f.mu.Unlock()
 	f.cancel()
-	if list := f.list.Load(); list != nil {
+	if killed {
+		return
+	}
+	f.ending.Lock()
+	if list := f.list.Load(); list != nil && !f.cut() {
 		if err := list.Leave(ms(f.cfg.LeaveMs)); err != nil {
 			f.log.Warn("fleet: not all may have heard that this process ends", "err", err)
 		}
 	}
+	f.ending.Unlock()
+	f.tasks.Wait()
+	f.shutdown()
+}
+
+// Kill closes all at once and tells nobody: to the others it is as if the process had been
+// killed. It may be called at any time, also during Leave and after it, and returns once all that
+// the view ran has ended.
+func (f *Fleet) Kill() {
+	f.mu.Lock()
+	f.leaving, f.killed = true, true
+	f.mu.Unlock()
+	f.cancel()
+	if f.list.Load() != nil {
+		f.tr.cut()
+	}
+	f.shutdown()
 	f.tasks.Wait()
+	f.shutdown() // where it was bound meanwhile
+}
+
+// cut tells whether the process's sockets are closed already.
+func (f *Fleet) cut() bool { return f.tr.ctx.Err() != nil }
+
+// shutdown ends memberlist, if it runs.
+func (f *Fleet) shutdown() {
+	f.ending.Lock()
+	defer f.ending.Unlock()
 	if list := f.list.Load(); list != nil {
 		list.Shutdown()
 	}
@@ -406,7 +443,7 @@
 	}
 	n := &f.count
 	s.Traffic = map[string]uint64{"packets_in": n.packetsIn.Load(), "bytes_in": n.bytesIn.Load(),
-		"packets_out": n.packetsOut.Load(), "bytes_out": n.bytesOut.Load(), "streams": n.streams.Load(),
+		"packets_out": n.packetsOut.Load(), "bytes_out": n.bytesOut.Load(), "streams": n.streams.Load(), "streams_out": n.streamsOut.Load(),
 		"stream_bytes_in": n.streamBytesIn.Load(), "stream_bytes_out": n.streamBytesOut.Load(),
 		"bad_packets": n.badPackets.Load(), "bad_streams": n.badStreams.Load(), "foreign": n.foreign.Load(),
 		"rejected": n.rejected.Load(), "hearsay": n.hearsay.Load(), "reconnects": f.heals.Load(), "syncs": f.syncs.Load(),
--- a/internal/fleet/transport.go
+++ b/internal/fleet/transport.go
@@ -42,7 +42,8 @@
 // traffic counts what passes and what is dropped, since the start.
 type traffic struct {
 	packetsIn, bytesIn, packetsOut, bytesOut  atomic.Uint64
-	streams, streamBytesIn, streamBytesOut    atomic.Uint64
+	streams, streamsOut                       atomic.Uint64 // both ways, and of these the ones that this process began
+	streamBytesIn, streamBytesOut             atomic.Uint64
 	badPackets, badStreams, foreign, rejected atomic.Uint64
 	hearsay                                   atomic.Uint64
 }
@@ -66,6 +67,9 @@
 	watchers chan struct{}
 	ctx      context.Context // done at Shutdown
 	end      context.CancelFunc
+	dead     context.Context // done at cut: streams end too that may else come to their end
+	kill     context.CancelFunc
+	closed   func() error // closes the sockets, once
 	// told is called when a packet came or went that says something of a member's state.
 	told func()
 	// counts tells whether this process takes a member's word that another is dead.
@@ -99,6 +103,8 @@
 		logger.Printf("[WARN] receive buffer: %v", err)
 	}
 	t.ctx, t.end = context.WithCancel(context.Background())
+	t.dead, t.kill = context.WithCancel(context.Background())
+	t.closed = sync.OnceValue(func() error { return errors.Join(t.udp.Close(), t.tcp.Close()) })
 	go t.takePackets()
 	go t.takeStreams()
 	return t, nil
@@ -116,10 +122,17 @@
 	return a, port, nil
 }
 
-// Shutdown closes the sockets and what is open.
+// Shutdown closes the sockets and the watchers' connections; other streams that are under way
+// have their time.
 func (t *transport) Shutdown() error {
 	t.end()
-	return errors.Join(t.udp.Close(), t.tcp.Close())
+	return t.closed()
+}
+
+// cut closes all at once, as the kernel does for a process that is killed.
+func (t *transport) cut() {
+	t.kill()
+	_ = t.Shutdown() // nothing is left that an error could be about
 }
 
 func (t *transport) takePackets() {
@@ -217,7 +230,7 @@
 			continue
 		}
 		t.count.streams.Add(1)
-		go t.open(&framed{Conn: c, t: t, release: sync.OnceFunc(func() { <-t.slots })})
+		go t.open(t.frame(c, sync.OnceFunc(func() { <-t.slots })))
 	}
 }
 
@@ -322,12 +335,13 @@
 		return nil, err
 	}
 	d := net.Dialer{Timeout: within, LocalAddr: &net.TCPAddr{IP: t.local}}
-	c, err := d.Dial("tcp", a.Addr)
+	c, err := d.DialContext(t.dead, "tcp", a.Addr)
 	if err != nil {
 		return nil, err
 	}
 	t.count.streams.Add(1)
-	return &framed{Conn: c, t: t, release: func() {}}, nil
+	t.count.streamsOut.Add(1)
+	return t.frame(c, func() {}), nil
 }
 
 // framed is a stream whose messages have their length before them, in four bytes, and are
@@ -336,10 +350,17 @@
 	net.Conn
 	t       *transport
 	release func()
+	detach  func() bool // from cut
 	rest    []byte
 }
 
+// frame makes a stream of a connection, which cut closes.
+func (t *transport) frame(c net.Conn, release func()) *framed {
+	return &framed{Conn: c, t: t, release: release, detach: context.AfterFunc(t.dead, func() { c.Close() })}
+}
+
 func (f *framed) Close() error {
+	f.detach()
 	f.release()
 	return f.Conn.Close()
 }
@@ -379,7 +400,7 @@
 	if _, err := io.CopyN(&b, f.Conn, int64(size)); err != nil {
 		return err
 	}
-	f.t.count.streamBytesIn.Add(uint64(size))
+	f.t.count.streamBytesIn.Add(4 + uint64(size))
 	f.rest = b.Bytes()
 	if f.rest[0] == msgLabel {
 		if string(f.rest[min(2, len(f.rest)):]) != f.t.cfg.Site {
