--- /dev/null
+++ b/internal/scale/host_test.go
@@ -0,0 +1,558 @@
+package scale
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"regexp"
+	"runtime"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"clayproxy.example/clayproxy/internal/fleet"
+	"clayproxy.example/clayproxy/internal/targets"
+)
+
+// patience bounds every wait of the tests; none of them needs more than a part of it.
+const patience = 60 * time.Second
+
+const settings = `{"classes":[{"name":"order","aimMs":2000,"giveUpMs":3000,"effect":"single_shot","credit":5,"lateShare":0.2}],
+"contract":{"askWithinMs":1600,"drainGraceMs":250},"failureDomains":["east"],"shapes":["big"],"replicasOfMe":%d,
+"limits":{"cancelling":true,"connectTimeoutMs":1000,"keepaliveMs":30000,"maxAttempts":%d,"maxRetryAfterMs":600},
+"membershipMode":"pushed","objectiveMix":{"whole":1},"roundMs":5}`
+
+// list is a discovery whose list grows by a server at each change. Watches stand until then.
+type list struct {
+	addr string
+
+	mu      sync.Mutex
+	version uint64
+	wake    chan struct{}
+	from    map[string]bool // addresses that called
+}
+
+func newList(t *testing.T) *list {
+	l := &list{version: 1, wake: make(chan struct{}), from: map[string]bool{}}
+	s := httptest.NewServer(l)
+	l.addr = s.Listener.Addr().String()
+	t.Cleanup(func() {
+		s.CloseClientConnections()
+		s.Close()
+	})
+	return l
+}
+
+func (l *list) ServeHTTP(w http.ResponseWriter, req *http.Request) {
+	from, _, _ := net.SplitHostPort(req.RemoteAddr)
+	index, _ := strconv.ParseUint(req.FormValue("index"), 10, 64)
+	wait, _ := strconv.Atoi(req.FormValue("wait"))
+	over := time.After(time.Duration(wait) * time.Millisecond)
+	for {
+		l.mu.Lock()
+		l.from[from] = true
+		version, wake := l.version, l.wake
+		l.mu.Unlock()
+		answer := targets.List{Version: version, Servers: []targets.Target{}}
+		for v := index + 1; v <= version; v++ {
+			answer.Servers = append(answer.Servers, targets.Target{ID: fmt.Sprintf("s-%d", v), Addr: "127.0.0.1:1", Zone: "east", Kind: "big", State: "up", Weight: 1})
+		}
+		answer.Full = index == 0
+		if version > index {
+			json.NewEncoder(w).Encode(answer)
+			return
+		}
+		select {
+		case <-wake:
+		case <-over:
+			json.NewEncoder(w).Encode(answer)
+			return
+		case <-req.Context().Done():
+			return
+		}
+	}
+}
+
+// change makes the next version.
+func (l *list) change() uint64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.version++
+	close(l.wake)
+	l.wake = make(chan struct{})
+	return l.version
+}
+
+// site makes configurations of a fleet.
+type site struct {
+	net  [2]byte
+	port int
+	size int
+	list string
+}
+
+func newSite(t *testing.T, l string, size int) *site {
+	s := &site{net: [2]byte{byte(64 + rand.IntN(128)), byte(rand.IntN(256))}, size: size, list: l}
+	for range 100 { // a port that is free for both protocols
+		ln, err := net.Listen("tcp", s.ip(0)+":0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		s.port = ln.Addr().(*net.TCPAddr).Port
+		udp, err := net.ListenPacket("udp", s.addr(0, s.port))
+		ln.Close()
+		if err == nil {
+			udp.Close()
+			return s
+		}
+	}
+	t.Fatal("no free port")
+	return nil
+}
+
+func (s *site) ip(i int) string             { return fmt.Sprintf("127.%d.%d.%d", s.net[0], s.net[1], i+1) }
+func (s *site) addr(i, port int) string     { return net.JoinHostPort(s.ip(i), strconv.Itoa(port)) }
+func (s *site) door(i int) string           { return s.addr(i, s.port-1) }
+func (s *site) config(i int) map[string]any { return s.configWith(i, 3) }
+
+func (s *site) configWith(i, maxAttempts int) map[string]any {
+	return map[string]any{"name": fmt.Sprintf("a%d", i), "listen": s.addr(i, 8000), "management": s.door(i), "discovery": s.list, "seed": "1",
+		"limits": map[string]any{"cores": 0.2, "memory_mb": 64, "sockets": 256},
+		"known":  map[string]any{"version": 0, "full": true, "servers": []any{}},
+		"fleet": map[string]any{"bind": s.addr(i, s.port), "seeds": []string{s.addr(0, s.port), s.addr(1, s.port)}, "site": "test",
+			"probe_interval_ms": 200, "suspect_timeout_ms": 3000, "settle_ms": 500, "reconnect_ms": 1000},
+		"settings": json.RawMessage(fmt.Sprintf(settings, s.size, maxAttempts))}
+}
+
+// driver gives a host orders and takes its tellings.
+type driver struct {
+	t    *testing.T
+	in   io.WriteCloser
+	over chan error
+
+	mu       sync.Mutex
+	tellings []Telling
+	came     chan struct{}
+}
+
+func newDriver(t *testing.T) *driver {
+	orders, in := io.Pipe()
+	out, told := io.Pipe()
+	d := &driver{t: t, in: in, over: make(chan error, 1), came: make(chan struct{})}
+	go func() { d.over <- ServeHost(context.Background(), orders, told, io.Discard) }()
+	go func() {
+		for lines := bufio.NewScanner(out); lines.Scan(); {
+			var x Telling
+			if err := json.Unmarshal(lines.Bytes(), &x); err != nil {
+				t.Error(err)
+			}
+			d.mu.Lock()
+			d.tellings = append(d.tellings, x)
+			close(d.came)
+			d.came = make(chan struct{})
+			d.mu.Unlock()
+		}
+	}()
+	t.Cleanup(d.end)
+	return d
+}
+
+// end ends the host; once it has ended no agent of it is there.
+func (d *driver) end() {
+	d.in.Close()
+	select {
+	case err := <-d.over:
+		if err != nil {
+			d.t.Error(err)
+		}
+		d.over <- nil
+	case <-time.After(patience):
+		d.t.Error("the host does not end")
+	}
+}
+
+func (d *driver) order(do, name string, config any) {
+	o := Order{Do: do, Agent: name}
+	if config != nil {
+		o.Config, _ = json.Marshal(config)
+	}
+	line, _ := json.Marshal(o)
+	d.line(string(line))
+}
+
+func (d *driver) line(text string) {
+	if _, err := io.WriteString(d.in, text+"\n"); err != nil {
+		d.t.Fatal(err)
+	}
+}
+
+// await waits for a telling that fits, among those since the n-th, and gives it and the number after it.
+func (d *driver) await(since int, what string, fits func(*Telling) bool) (Telling, int) {
+	d.t.Helper()
+	over := time.After(patience)
+	for n := since; ; {
+		d.mu.Lock()
+		tellings, came := d.tellings, d.came
+		d.mu.Unlock()
+		for ; n < len(tellings); n++ {
+			if fits(&tellings[n]) {
+				return tellings[n], n + 1
+			}
+		}
+		select {
+		case <-came:
+		case <-over:
+			d.t.Fatalf("never told: %s", what)
+		}
+	}
+}
+
+func (d *driver) count() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return len(d.tellings)
+}
+
+func (d *driver) ended(name string) Telling {
+	d.t.Helper()
+	x, _ := d.await(0, name+" ended", func(x *Telling) bool { return x.Ended == name })
+	return x
+}
+
+func (d *driver) report() *Report {
+	d.t.Helper()
+	since := d.count()
+	d.order("report", "", nil)
+	x, _ := d.await(since, "report", func(x *Telling) bool { return x.Report != nil })
+	return x.Report
+}
+
+// reported asks for reports until one is as wanted.
+func (d *driver) reported(what string, is func(*Report) bool) *Report {
+	d.t.Helper()
+	for end := time.Now().Add(patience); ; time.Sleep(100 * time.Millisecond) {
+		r := d.report()
+		if is(r) {
+			return r
+		}
+		if time.Now().After(end) {
+			d.t.Fatalf("never came about: %s: %+v", what, r)
+		}
+	}
+}
+
+// Thirty agents in one process see each other and take a change of the list, each from an address
+// of its own.
+func TestHollowFleetAgreesAndTakesChanges(t *testing.T) {
+	const n = 30
+	l := newList(t)
+	s := newSite(t, l.addr, n)
+	d := newDriver(t)
+	for i := range n {
+		d.order("start", fmt.Sprintf("a%d", i), s.config(i))
+	}
+	inForce := func(kind string, version uint64) {
+		t.Helper()
+		have, latest := map[string]bool{}, int64(0)
+		for since := 0; len(have) < n; {
+			var x Telling
+			x, since = d.await(since, fmt.Sprintf("%s %d in force everywhere", kind, version), func(x *Telling) bool {
+				return x.Force != nil && x.Force.Kind == kind && x.Force.Version >= version
+			})
+			have[x.Force.Agent] = true
+			latest = max(latest, x.Force.AtUs)
+		}
+		if late := time.Since(time.UnixMicro(latest)); late < 0 || late > patience {
+			t.Errorf("in force %v ago", late)
+		}
+	}
+	inForce("list", 1)
+	inForce("list", l.change())
+	r := d.reported("one view", func(r *Report) bool {
+		digests := map[string]bool{}
+		for _, a := range r.Agents {
+			if digests[a.Digest] = true; a.Members != n || !a.Settled || a.ListVersion != 2 || a.Servers != 2 {
+				return false
+			}
+		}
+		return len(r.Agents) == n && len(digests) == 1
+	})
+	for name, a := range r.Agents {
+		if a.ViewIn == 0 || a.ViewOut == 0 || a.ViewMsgIn == 0 || a.ViewMsgOut == 0 || a.ListIn == 0 || a.ListOut == 0 || a.ListCalls < 2 {
+			t.Errorf("%s counted %+v", name, a)
+		}
+	}
+	if r.CPUSeconds <= 0 || r.ResidentMB <= 0 || r.HeapMB <= 0 || r.AllocBytes == 0 || r.Descriptors < n || r.Goroutines < n {
+		t.Errorf("%+v", r)
+	}
+	l.mu.Lock()
+	for i := range n {
+		if !l.from[s.ip(i)] {
+			t.Errorf("no call came from %s", s.ip(i))
+		}
+	}
+	l.mu.Unlock()
+	for i := range n {
+		d.order("reload", fmt.Sprintf("a%d", i), s.configWith(i, 2))
+	}
+	inForce("settings", 0)
+	t.Logf("%d agents: %.1f MB live, %.1f MB resident, %d goroutines, %d descriptors", n, r.HeapMB, r.ResidentMB, r.Goroutines, r.Descriptors)
+}
+
+// To the others a kill looks as one of a process does, and a stop as SIGTERM.
+func TestKilledIsDeadAndStoppedHasLeft(t *testing.T) {
+	l := newList(t)
+	s := newSite(t, l.addr, 4)
+	d := newDriver(t)
+	for i := range 4 {
+		d.order("start", fmt.Sprintf("a%d", i), s.config(i))
+	}
+	d.reported("four members", func(r *Report) bool {
+		for _, a := range r.Agents {
+			if a.Members != 4 || !a.Settled {
+				return false
+			}
+		}
+		return len(r.Agents) == 4
+	})
+	d.order("kill", "a2", nil)
+	d.order("stop", "a3", nil)
+	for _, name := range []string{"a2", "a3"} {
+		if x := d.ended(name); x.Err != "" {
+			t.Errorf("%s ended: %s", name, x.Err)
+		}
+	}
+	want := map[string]fleet.State{"a0": fleet.Alive, "a1": fleet.Alive, "a2": fleet.Dead, "a3": fleet.Left}
+	var seen *fleet.Status
+	for end := time.Now().Add(patience); ; time.Sleep(50 * time.Millisecond) {
+		var err error
+		if seen, err = fleet.Ask(t.Context(), s.door(0), "since=0"); err != nil {
+			t.Fatal(err)
+		}
+		right := 0
+		for name, state := range want {
+			if m, ok := seen.View.Member(name); ok && m.State == state {
+				right++
+			}
+		}
+		if right == len(want) {
+			break
+		}
+		if time.Now().After(end) {
+			t.Fatalf("members %+v", seen.Members)
+		}
+	}
+	for _, c := range seen.Changes {
+		if c.Name == "a2" && c.To == fleet.Left {
+			t.Error("the killed one told that it leaves")
+		}
+	}
+}
+
+// level is the number of goroutines and descriptors of this process.
+func level(t *testing.T) [2]int {
+	fds, err := os.ReadDir("/proc/self/fd")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return [2]int{runtime.NumGoroutine(), len(fds)}
+}
+
+// Whatever ends an agent, nothing of it stays: neither while it is well, nor just as it begins or
+// ends.
+func TestEndedAgentsLeaveNothing(t *testing.T) {
+	l := newList(t)
+	s := newSite(t, l.addr, 8)
+	d := newDriver(t)
+	// What a first agent opens for the whole process counts as there before.
+	d.order("start", "a0", s.config(0))
+	d.await(0, "list in force", func(x *Telling) bool { return x.Force != nil })
+	before := level(t)
+	for round := range 20 {
+		since := d.count()
+		name := fmt.Sprintf("b%d", round)
+		d.order("start", name, s.config(1))
+		if round%4 > 0 {
+			d.await(since, "list in force", func(x *Telling) bool { return x.Force != nil && x.Force.Agent == name })
+		}
+		switch round % 4 {
+		case 1:
+			d.order("stop", name, nil)
+		case 2:
+			d.order("stop", name, nil)
+			fallthrough
+		default:
+			d.order("kill", name, nil)
+		}
+		if x := d.ended(name); x.Err != "" {
+			t.Fatalf("%s ended: %s", name, x.Err)
+		}
+	}
+	var after [2]int
+	for end := time.Now().Add(patience); ; time.Sleep(100 * time.Millisecond) {
+		if after = level(t); after[0] <= before[0] && after[1] <= before[1] {
+			return
+		}
+		if time.Now().After(end) {
+			buf := make([]byte, 1<<20)
+			t.Fatalf("goroutines and descriptors %v, before %v\n%s", after, before, buf[:runtime.Stack(buf, true)])
+		}
+	}
+}
+
+// A bad order is told once, changes nothing, and the host goes on.
+func TestBadOrders(t *testing.T) {
+	l := newList(t)
+	s := newSite(t, l.addr, 2)
+	d := newDriver(t)
+	d.order("start", "a0", s.config(0))
+	d.await(0, "list in force", func(x *Telling) bool { return x.Force != nil })
+	bad := s.config(1)
+	bad["seed"] = "none"
+	bare := s.config(0)
+	delete(bare, "management")
+	config := func(c map[string]any) string {
+		text, _ := json.Marshal(c)
+		return string(text)
+	}
+	for order, want := range map[string]string{
+		`{"do":`:                       "order: unexpected EOF",
+		`{"do":"dance","agent":"a0"}`:  `order: do: "dance" is none`,
+		`{"do":"stop","agnt":"a0"}`:    `unknown field "agnt"`,
+		`{"do":"stop"}`:                "stop : no agent named",
+		`{"do":"stop","agent":"a1"}`:   "stop a1: does not run",
+		`{"do":"kill","agent":"a1"}`:   "kill a1: does not run",
+		`{"do":"reload","agent":"a1"}`: "reload a1: does not run",
+		`{"do":"start","agent":"a1","config":` + config(bad) + `}`:         "start a1: config: seed",
+		`{"do":"start","agent":"a1","config":{"name":3}}`:                  "start a1: config: json",
+		`{"do":"start","agent":"a0","config":` + config(s.config(0)) + `}`: "start a0: runs already",
+		`{"do":"reload","agent":"a0","config":` + config(bare) + `}`:       "reload a0: config: management: missing",
+	} {
+		since := d.count()
+		d.line(order)
+		x, n := d.await(since, "the error of "+order, func(x *Telling) bool { return x.Err != "" })
+		if !strings.Contains(x.Err, want) || x.Ended != "" || strings.Contains(x.Err, "\n") {
+			t.Errorf("%s: told %+v, want %q", order, x, want)
+		}
+		if r := d.report(); len(r.Agents) != 1 {
+			t.Errorf("after %s: agents %v", order, r.Agents)
+		}
+		d.mu.Lock()
+		for _, x := range d.tellings[n:] {
+			if x.Err != "" {
+				t.Errorf("%s: told again: %s", order, x.Err)
+			}
+		}
+		d.mu.Unlock()
+	}
+	// An address that is taken is no nonsense: the agent ends.
+	taken := s.config(1)
+	taken["management"] = s.door(0)
+	d.order("start", "a1", taken)
+	if x := d.ended("a1"); !strings.Contains(x.Err, "address already in use") {
+		t.Errorf("told %+v", x)
+	}
+}
+
+// A hollow agent's calls to discovery are those of the program: the same bytes for the same list.
+func TestDiscoveryBytesAreTheProgramsOwn(t *testing.T) {
+	dir := t.TempDir()
+	bin := filepath.Join(dir, "ringtrack")
+	if out, err := exec.Command("go", "build", "-o", bin, "../../cmd/ringtrack").CombinedOutput(); err != nil {
+		t.Fatalf("build: %v\n%s", err, out)
+	}
+	// Twenty versions at once, one a call, and then silence: calls that stand are given up and
+	// made again, and bring nothing.
+	silent := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		index, _ := strconv.Atoi(req.FormValue("index"))
+		if index >= 20 {
+			<-req.Context().Done()
+			return
+		}
+		fmt.Fprintf(w, `{"version":%d,"full":%t,"servers":[{"id":"s-%[1]d","addr":"127.0.0.1:1","zone":"east","kind":"big","state":"up","weight":1}]}`, index+1, index == 0)
+	}))
+	t.Cleanup(func() {
+		silent.CloseClientConnections()
+		silent.Close()
+	})
+	s := newSite(t, silent.Listener.Addr().String(), 2)
+	config := s.config(1)
+	delete(config, "fleet")
+	text, _ := json.Marshal(config)
+	path := filepath.Join(dir, "config.json")
+	if err := os.WriteFile(path, text, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	cmd := exec.Command(bin)
+	cmd.Env = append(os.Environ(), "PROXY_CONFIG="+path, "PROXY_NAME=", "PROXY_LISTEN=", "PROXY_DISCOVERY=", "PROXY_MANAGEMENT=", "PROXY_LISTEN_FD=")
+	log, err := cmd.StderrPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		cmd.Process.Kill()
+		cmd.Wait()
+	})
+	type bytes struct{ in, out uint64 }
+	real := make(chan map[uint64]bytes, 1) // by calls
+	counts := regexp.MustCompile(`listIn:(\d+) listOut:(\d+) listCalls:(\d+)`)
+	go func() {
+		at := map[uint64]bytes{}
+		for lines := bufio.NewScanner(log); lines.Scan(); {
+			if found := counts.FindStringSubmatch(lines.Text()); found != nil {
+				var n [3]uint64
+				for i := range n {
+					n[i], _ = strconv.ParseUint(found[i+1], 10, 64)
+				}
+				at[n[2]] = bytes{n[0], n[1]}
+			}
+			if len(at) > 0 && at[23] != (bytes{}) {
+				break
+			}
+		}
+		real <- at
+		io.Copy(io.Discard, log)
+	}()
+	var program map[uint64]bytes
+	select {
+	case program = <-real:
+	case <-time.After(patience):
+		t.Fatal("the program does not make 23 calls")
+	}
+	config["management"], config["listen"] = s.door(0), s.addr(0, 8000)
+	d := newDriver(t)
+	d.order("start", "a1", config)
+	hollow := map[uint64]bytes{}
+	d.reported("23 calls", func(r *Report) bool {
+		a := r.Agents["a1"]
+		hollow[a.ListCalls] = bytes{a.ListIn, a.ListOut}
+		return a.ListCalls >= 23
+	})
+	compared := 0
+	for calls, p := range program {
+		if h, ok := hollow[calls]; ok && calls > 21 {
+			compared++
+			t.Logf("%d calls: the program %d bytes in and %d out, hollow %d and %d", calls, p.in, p.out, h.in, h.out)
+			if p.in != h.in || p.out != h.out {
+				t.Errorf("%d calls: the program %+v, hollow %+v", calls, p, h)
+			}
+		}
+	}
+	if compared == 0 {
+		t.Errorf("nothing to compare: the program %v, hollow %v", program, hollow)
+	}
+}
