Fit a figure over sizes: shape by AICc, slope and prediction with their intervals

What was measured at some hundreds of agents has to be told at 1,500, and how surely. Least squares with an intercept over flat, log n, n, n x changes, n squared; the shape is the one with the least AICc, the largest size is left out and predicted, shapes within 4 of the best widen the prediction, and n squared told apart from all others is an alarm.

--- /dev/null
+++ b/internal/capacity/fit.go
@@ -0,0 +1,263 @@
+package capacity
+
+import (
+	"fmt"
+	"math"
+	"slices"
+
+	"gonum.org/v1/gonum/floats"
+	"gonum.org/v1/gonum/stat"
+	"gonum.org/v1/gonum/stat/distuv"
+)
+
+// Shape is how a figure grows with the number of agents n.
+type Shape string
+
+// The shapes, from the plainest; Square is an alarm and never chosen for being as good as another.
+const (
+	Flat     Shape = "flat"
+	Log      Shape = "log n"
+	Linear   Shape = "n"
+	ByChange Shape = "n × changes" // acknowledged a second
+	Square   Shape = "n²"
+)
+
+// x is what a shape's slope is by.
+func (s Shape) x(n, changes float64) float64 {
+	switch s {
+	case Log:
+		return math.Log(n)
+	case Linear:
+		return n
+	case ByChange:
+		return n * changes
+	case Square:
+		return n * n
+	}
+	return 0
+}
+
+// Point is one run's figure.
+type Point struct {
+	Size    int
+	Changes float64 // acknowledged a second
+	Value   float64
+}
+
+// Interval is one of 95 %.
+type Interval struct{ Lo, Hi float64 }
+
+// Holds tells whether a value lies in it.
+func (i Interval) Holds(v float64) bool { return v >= i.Lo && v <= i.Hi }
+
+func (i Interval) union(o Interval) Interval {
+	return Interval{math.Min(i.Lo, o.Lo), math.Max(i.Hi, o.Hi)}
+}
+
+// Fit is a figure over sizes: least squares with an intercept, by the shape with the least AICc
+// (Hurvich and Tsai 1989). AICc because its correction is made for few points, and as all shapes
+// but flat have as many parameters it decides among these by the residuals alone; the error of
+// leaving out a size would rest on the two or three that then are left.
+type Fit struct {
+	Shape     Shape
+	Alike     []Shape // others within notApart of the AICc: not told apart at these sizes
+	Slope     float64 // by what the shape names; 0 for flat
+	SlopeIn   Interval
+	Sizes     []int // fitted
+	Runs      int   // fitted
+	Alarm     bool  // n² and told apart from all others
+	LeftOut   int   // the largest size, which was not fitted; 0 with three sizes, where none is left out
+	Measured  float64
+	Predicted float64 // of the mean there
+	In        Interval
+
+	best  line
+	union []line
+}
+
+// notApart is the difference of AICc within which shapes are not told apart. Burnham and Anderson give 2 to
+// 4 as the edge; with 2 the predictions of laws that noise hides held 0.90 (TestSlopesOfKnownLaws).
+const notApart = 4
+
+// NewFit fits points; the error says why there is no fit.
+func NewFit(points []Point) (*Fit, error) {
+	var sizes []int
+	for _, p := range points {
+		if bad(p.Value) || bad(p.Changes) {
+			return nil, fmt.Errorf("a run's figure is %v", p.Value)
+		}
+		sizes = append(sizes, p.Size)
+	}
+	slices.Sort(sizes)
+	sizes = slices.Compact(sizes)
+	if len(sizes) < 3 {
+		return nil, fmt.Errorf("%d of 3 sizes", len(sizes))
+	}
+	f := &Fit{Sizes: sizes}
+	var in, out []Point
+	for _, p := range points {
+		if len(sizes) > 3 && p.Size == sizes[len(sizes)-1] {
+			out = append(out, p)
+		} else {
+			in = append(in, p)
+		}
+	}
+	if f.Runs = len(in); f.Runs < 5 {
+		return nil, fmt.Errorf("%d of 5 runs", f.Runs)
+	}
+	f.choose(in)
+	if len(out) > 0 {
+		f.Sizes, f.LeftOut = sizes[:len(sizes)-1], out[0].Size
+		f.predict(out)
+	}
+	return f, nil
+}
+
+// choose takes the shape. One that falls is none: what shrinks with the size is taken as flat,
+// which is above it. A shape that can't be told from a plainer one by its x, such as n² where
+// the changes grow with n, is left out.
+func (f *Fit) choose(in []Point) {
+	var lines []line
+	for _, s := range []Shape{Flat, Log, Linear, ByChange, Square} {
+		l, ok := fitLine(s, in)
+		if ok && (l.slope >= 0 || s == Flat) && !slices.ContainsFunc(lines, l.like) {
+			lines = append(lines, l)
+		}
+	}
+	least := func(square bool) (line, bool) {
+		best, found := line{aicc: math.Inf(1)}, false
+		for _, l := range lines {
+			if (l.shape != Square || square) && l.aicc < best.aicc-1e-9 {
+				best, found = l, true
+			}
+		}
+		return best, found
+	}
+	best, _ := least(false)
+	if any, _ := least(true); any.shape == Square && best.aicc > any.aicc+notApart {
+		best, f.Alarm = any, true
+	}
+	f.best, f.Shape, f.Slope, f.SlopeIn = best, best.shape, best.slope, best.slopeIn()
+	for _, l := range lines {
+		if l.shape != best.shape && math.Abs(l.aicc-best.aicc) < notApart {
+			f.Alike, f.union = append(f.Alike, l.shape), append(f.union, l)
+		}
+	}
+	// That no slope was seen does not say that there is none: flat's interval is that of n, too.
+	if n, ok := fitLine(Linear, in); ok && best.shape == Flat && !slices.Contains(f.Alike, Linear) {
+		f.union = append(f.union, n)
+	}
+}
+
+// predict holds the fit to the runs of the largest size.
+func (f *Fit) predict(out []Point) {
+	var values, changes []float64
+	for _, p := range out {
+		values, changes = append(values, p.Value), append(changes, p.Changes)
+	}
+	f.Measured = stat.Mean(values, nil)
+	f.Predicted, f.In = f.at(float64(f.LeftOut), stat.Mean(changes, nil), len(out))
+}
+
+// Miss is what was measured at the largest size over what was predicted, less one.
+func (f *Fit) Miss() (float64, bool) {
+	if f.LeftOut == 0 || f.Predicted <= 0 {
+		return 0, false
+	}
+	return f.Measured/f.Predicted - 1, true
+}
+
+// At predicts one run's figure at a size and rate of changes. The interval is the prediction's, by
+// Student's t, and holds those of the shapes that are not told apart; none of it is below zero.
+func (f *Fit) At(n, changes float64) (float64, Interval) { return f.at(n, changes, 1) }
+
+func (f *Fit) at(n, changes float64, runs int) (float64, Interval) {
+	v, in := f.best.at(n, changes, runs)
+	for _, l := range f.union {
+		_, other := l.at(n, changes, runs)
+		in = in.union(other)
+	}
+	return math.Max(v, 0), Interval{math.Max(in.Lo, 0), math.Max(in.Hi, 0)}
+}
+
+// line is a least-squares line over one shape's x.
+type line struct {
+	shape            Shape
+	intercept, slope float64
+	xs               []float64
+	mean, sxx        float64 // of xs, and the sum of squares about it
+	sd               float64 // of the residuals
+	free             float64 // degrees of freedom
+	aicc             float64
+}
+
+// fitLine is not ok where the shape's x does not differ between points.
+func fitLine(s Shape, in []Point) (line, bool) {
+	l := line{shape: s}
+	var ys []float64
+	for _, p := range in {
+		l.xs, ys = append(l.xs, s.x(float64(p.Size), p.Changes)), append(ys, p.Value)
+	}
+	n, params := float64(len(ys)), 3.0 // intercept, slope, variance
+	l.mean = stat.Mean(l.xs, nil)
+	for _, x := range l.xs {
+		l.sxx += (x - l.mean) * (x - l.mean)
+	}
+	if s == Flat {
+		params, l.intercept = 2, stat.Mean(ys, nil)
+	} else if l.sxx <= 1e-9*l.mean*l.mean {
+		return l, false
+	} else {
+		l.intercept, l.slope = stat.LinearRegression(l.xs, ys, nil, false)
+	}
+	rss := 0.0
+	for i, y := range ys {
+		r := y - l.intercept - l.slope*l.xs[i]
+		rss += r * r
+	}
+	// What rounding leaves of exact figures decides nothing.
+	if floor := 1e-18 * floats.Dot(ys, ys); rss <= floor {
+		rss, l.slope = floor, tiny(l.slope, l.xs, ys)
+	}
+	l.free = n - params + 1
+	l.sd = math.Sqrt(rss / l.free)
+	l.aicc = 2*params + 2*params*(params+1)/(n-params-1)
+	if rss > 0 {
+		l.aicc += n * math.Log(rss/n)
+	}
+	return l, true
+}
+
+// tiny is a slope without what rounding makes of none.
+func tiny(slope float64, xs, ys []float64) float64 {
+	if math.Abs(slope)*(floats.Max(xs)-floats.Min(xs)) < 1e-9*floats.Norm(ys, math.Inf(1)) {
+		return 0
+	}
+	return slope
+}
+
+// like tells whether another's x is in effect a multiple of this one's.
+func (l line) like(o line) bool {
+	return l.shape != Flat && o.shape != Flat && (l.shape == ByChange || o.shape == ByChange) && math.Abs(stat.Correlation(l.xs, o.xs, nil)) > 0.999
+}
+
+func (l line) t() float64 { return distuv.StudentsT{Mu: 0, Sigma: 1, Nu: l.free}.Quantile(0.975) }
+
+func (l line) slopeIn() Interval {
+	if l.shape == Flat {
+		return Interval{}
+	}
+	half := l.t() * l.sd / math.Sqrt(l.sxx)
+	return Interval{l.slope - half, l.slope + half}
+}
+
+// at predicts the mean of some runs.
+func (l line) at(n, changes float64, runs int) (float64, Interval) {
+	x := l.shape.x(n, changes)
+	v, spread := l.intercept+l.slope*x, 1/float64(runs)+1/float64(len(l.xs))
+	if l.shape != Flat {
+		spread += (x - l.mean) * (x - l.mean) / l.sxx
+	}
+	half := l.t() * l.sd * math.Sqrt(spread)
+	return v, Interval{v - half, v + half}
+}
--- /dev/null
+++ b/internal/capacity/fit_test.go
@@ -0,0 +1,191 @@
+package capacity
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+// drawn gives points of a known law: intercept and slope by a shape's x, with normal noise.
+func drawn(rng *rand.Rand, s Shape, intercept, slope, noise float64, repeats int, sizes ...int) (points []Point) {
+	for _, n := range sizes {
+		for range repeats {
+			// A plan's changes grow with the size; some runs come to a few more than others.
+			p := Point{Size: n, Changes: float64(n) * (0.9 + 0.2*rng.Float64())}
+			if s != ByChange {
+				p.Changes = 0
+			}
+			p.Value = math.Max(intercept+slope*s.x(float64(n), p.Changes)+noise*rng.NormFloat64(), 0)
+			points = append(points, p)
+		}
+	}
+	return points
+}
+
+// The true slope has to lie in the interval at its rate, the shape has to be found, the largest
+// size and the target's have to lie in the predictions' intervals at their rate or more.
+func TestSlopesOfKnownLaws(t *testing.T) {
+	const draws = 1000
+	for _, c := range []struct {
+		shape                    Shape
+		intercept, slope, noise  float64
+		found, inSlope, atTarget float64 // least rates
+	}{
+		{Flat, 5, 0, 0.2, 0.75, 0, 0.93},
+		{Log, 1, 3, 0.1, 0.95, 0.92, 0.93},
+		{Linear, 10, 0.5, 2, 0.95, 0.92, 0.93},
+		{ByChange, 10, 0.01, 5, 0.95, 0.92, 0.93},
+		{Square, 10, 0.01, 5, 0.95, 0.92, 0.93},
+		// Shapes that the noise hides: the predictions have to own up to it.
+		{Linear, 100, 0.5, 40, 0, 0, 0.93},
+		{Log, 10, 3, 2, 0, 0, 0.93},
+		{Linear, 100, 0.1, 20, 0, 0, 0.93},
+	} {
+		t.Run(fmt.Sprintf("%s noise %v", c.shape, c.noise), func(t *testing.T) {
+			rng := rand.New(rand.NewPCG(32, 1))
+			found, slope, target, largest, alarms := 0.0, 0.0, 0.0, 0.0, 0.0
+			for range draws {
+				f, err := NewFit(drawn(rng, c.shape, c.intercept, c.slope, c.noise, 4, 50, 100, 200, 400))
+				if err != nil {
+					t.Fatal(err)
+				}
+				if f.LeftOut != 400 || len(f.Sizes) != 3 || f.Runs != 12 {
+					t.Fatalf("left out %d, fitted %d runs at %v", f.LeftOut, f.Runs, f.Sizes)
+				}
+				if f.Alarm {
+					alarms++
+				}
+				next := drawn(rng, c.shape, c.intercept, c.slope, c.noise, 1, 1500)[0]
+				if _, in := f.At(1500, next.Changes); in.Holds(next.Value) {
+					target++
+				}
+				if f.In.Holds(f.Measured) {
+					largest++
+				}
+				if f.Shape == c.shape {
+					found++
+					if f.SlopeIn.Holds(c.slope) {
+						slope++
+					}
+				}
+			}
+			t.Logf("shape found in %.3f, slope in its interval in %.3f of these, target in %.3f, left out in %.3f, alarm in %.3f",
+				found/draws, slope/found, target/draws, largest/draws, alarms/draws)
+			if found/draws < c.found {
+				t.Errorf("shape found in %.3f of the draws, want %.3f", found/draws, c.found)
+			}
+			if rate := slope / found; c.inSlope > 0 && (rate < c.inSlope || rate > 0.98) {
+				t.Errorf("slope in its interval in %.3f of the draws, want 0.95", rate)
+			}
+			if target/draws < c.atTarget || largest/draws < c.atTarget {
+				t.Errorf("predictions hold %.3f at the target and %.3f at the size left out, want %.3f", target/draws, largest/draws, c.atTarget)
+			}
+			if rate := alarms / draws; c.shape == Square && rate < 0.95 || c.shape != Square && rate > 0.05 {
+				t.Errorf("alarm in %.3f of the draws", rate)
+			}
+		})
+	}
+}
+
+func TestExactLaws(t *testing.T) {
+	for _, s := range []Shape{Flat, Log, Linear, Square} {
+		rng := rand.New(rand.NewPCG(1, 1))
+		f, err := NewFit(drawn(rng, s, 3, 0.25, 0, 3, 50, 100, 200, 400))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if f.Shape != s || f.Alarm != (s == Square) {
+			t.Errorf("exact %s: found %s, alarm %v", s, f.Shape, f.Alarm)
+		}
+		if miss, ok := f.Miss(); !ok || math.Abs(miss) > 1e-6 {
+			t.Errorf("exact %s: misses by %v (%v)", s, miss, ok)
+		}
+		if want := 3 + 0.25*s.x(1500, 0); s != Flat {
+			if v, _ := f.At(1500, 0); math.Abs(v/want-1) > 1e-6 {
+				t.Errorf("exact %s: %v at 1500, want %v", s, v, want)
+			}
+		}
+	}
+	none, err := NewFit(drawn(rand.New(rand.NewPCG(1, 1)), Flat, 0, 0, 0, 3, 50, 100, 200, 400))
+	if err != nil || none.Shape != Flat {
+		t.Errorf("nothing at all: %+v, %v", none, err)
+	}
+	if _, in := none.At(1500, 0); in != (Interval{}) {
+		t.Errorf("nothing at all: %v at 1500", in)
+	}
+}
+
+// Where a plan's changes grow with the size, n × changes and n² are one line; it is no alarm.
+func TestChangesThatGrowWithTheSize(t *testing.T) {
+	var points []Point
+	for _, n := range []int{50, 100, 200, 400} {
+		for r := range 3 {
+			points = append(points, Point{Size: n, Changes: float64(n) / 100, Value: 1 + float64(n*n)/1000 + float64(r)/10})
+		}
+	}
+	f, err := NewFit(points)
+	if err != nil || f.Shape != ByChange || f.Alarm || slices.Contains(f.Alike, Square) {
+		t.Errorf("%+v, %v", f, err)
+	}
+}
+
+// What falls is not predicted to go on falling.
+func TestFallingFigureIsFlat(t *testing.T) {
+	f, err := NewFit(drawn(rand.New(rand.NewPCG(2, 2)), Linear, 100, -0.2, 1, 3, 50, 100, 200, 400))
+	if err != nil || f.Shape != Flat {
+		t.Fatalf("%+v, %v", f, err)
+	}
+	if v, in := f.At(1500, 0); v < 60 || in.Lo < 0 || !in.Holds(v) {
+		t.Errorf("%v (%v) at 1500", v, in)
+	}
+}
+
+func TestTooLittleIsNoFit(t *testing.T) {
+	rng := rand.New(rand.NewPCG(3, 3))
+	for _, c := range []struct {
+		points []Point
+		says   string
+	}{
+		{nil, "0 of 3 sizes"},
+		{drawn(rng, Flat, 1, 0, 1, 5, 50, 100), "2 of 3 sizes"},
+		{drawn(rng, Flat, 1, 0, 1, 1, 50, 100, 200, 400), "3 of 5 runs"},
+		{[]Point{{50, 0, math.NaN()}}, "NaN"},
+	} {
+		if f, err := NewFit(c.points); err == nil || f != nil || !strings.Contains(err.Error(), c.says) {
+			t.Errorf("%d points: %v, %v; want %q", len(c.points), f, err, c.says)
+		}
+	}
+	f, err := NewFit(drawn(rng, Linear, 1, 1, 0.1, 2, 50, 100, 200))
+	if err != nil || f.LeftOut != 0 || len(f.Sizes) != 3 {
+		t.Errorf("three sizes: %+v, %v; want none left out", f, err)
+	}
+}
+
+// Whatever the points are, the fit's figures are numbers, and no interval misses its own value.
+func TestFitsAreNumbers(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		points := rapid.SliceOfN(rapid.Custom(func(t *rapid.T) Point {
+			return Point{rapid.SampledFrom([]int{1, 2, 50, 100, 200, 400}).Draw(t, "size"), rapid.SampledFrom([]float64{0, 0.1, 5}).Draw(t, "changes"),
+				rapid.OneOf(rapid.Just(0.0), rapid.Just(7.0), rapid.Float64Range(0, 1e12)).Draw(t, "value")}
+		}), 0, 20).Draw(t, "points")
+		f, err := NewFit(points)
+		if err != nil {
+			return
+		}
+		v, in := f.At(1500, 0.06)
+		miss, _ := f.Miss()
+		for _, x := range []float64{f.Slope, f.SlopeIn.Lo, f.SlopeIn.Hi, v, in.Lo, in.Hi, f.Measured, f.Predicted, f.In.Lo, f.In.Hi, miss} {
+			if math.IsNaN(x) || math.IsInf(x, 0) {
+				t.Fatalf("%+v, %v %v at 1500", f, v, in)
+			}
+		}
+		if !in.Holds(v) || v < 0 || in.Lo < 0 {
+			t.Fatalf("%v outside of %v", v, in)
+		}
+	})
+}
