Keep a service's settings beside the servers, checked, and tell them by the watch

A watch that names its service is answered when they are newer than what it has or refused; one that does not gets what it got: writes of settings leave the list's version alone. A data directory is marked as of format 2, as a program of format 1 would drop the settings.

--- a/internal/listsvc/http.go
+++ b/internal/listsvc/http.go
@@ -7,6 +7,7 @@
 	"io"
 	"math"
 	"net/http"
+	"net/url"
 	"strconv"
 	"time"
 
@@ -35,39 +36,44 @@
 	mux.HandleFunc("PUT /v1/servers/{id}", n.servePut)
 	mux.HandleFunc("DELETE /v1/servers/{id}", n.serveRemove)
 	mux.HandleFunc("GET /v1/status", n.serveStatus)
+	mux.HandleFunc("PUT /v1/settings/{service}", n.servePutSettings)
+	mux.HandleFunc("GET /v1/settings/{service}", n.serveSettings)
+	mux.HandleFunc("GET /v1/settings/{service}/history", n.serveHistory)
+	mux.HandleFunc("GET /v1/settings/{service}/heard", n.serveHeard)
 	return mux
 }
 
 // serveTargets answers GET /api/targets: the whole list without index, else the changes
-// after index, waiting up to wait ms (60,000 at most) for one. A follower that has not
+// after index, waiting up to wait ms (60,000 at most) for one. A call that names a service
+// is answered too once its settings are newer than the call says the agent has, at once if
+// they are already, and what it says of the agent is remembered. A follower that has not
 // heard from a leader within MaxStale answers 503.
 func (n *Node) serveTargets(w http.ResponseWriter, r *http.Request) {
-	if err := n.fresh(); err != nil {
-		w.Header().Set("Retry-After", "1")
-		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+	c, err := readCall(r.URL.Query())
+	if err == nil && c.service != "" && c.agent != "" {
+		n.heard.note(c.service, c.agent, c.report, time.Now())
+	}
+	if n.refuseStale(w) {
 		return
 	}
-	q := r.URL.Query()
-	index, err := uintParam(q.Get("index"))
-	wait, err2 := uintParam(q.Get("wait"))
-	if err = errors.Join(err, err2); err != nil {
+	if err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	full := !q.Has("index")
-	timer := time.NewTimer(time.Duration(min(wait, uint64(maxWait.Milliseconds()))) * time.Millisecond)
+	timer := time.NewTimer(c.wait)
 	defer timer.Stop()
-	for {
-		out, wake := n.list.since(index, full)
-		if full || out.Full || out.Version > index || wait == 0 {
+	for last := c.wait == 0; ; {
+		out, wake, settings := n.list.since(c.query)
+		if c.full || out.Full || out.Version > c.version || out.Settings != nil || last {
 			writeJSON(w, http.StatusOK, out)
 			return
 		}
 		select {
 		case <-wake:
-			wait = 0 // answer with what woke it, or with nothing if it was no change
+			last = true // answer with what woke it, or with nothing if it was no change
+		case <-settings: // perhaps another service's
 		case <-timer.C:
-			wait = 0
+			last = true
 		case <-r.Context().Done():
 			return
 		case <-n.closed:
@@ -76,6 +82,47 @@
 	}
 }
 
+// watchCall is one call of GET /api/targets.
+type watchCall struct {
+	query
+	wait   time.Duration
+	agent  string
+	report AgentReport
+}
+
+// readCall reads a call's parameters; of settings only where it names a service.
+func readCall(q url.Values) (c watchCall, err error) {
+	index, err := uintParam(q.Get("index"))
+	wait, err2 := uintParam(q.Get("wait"))
+	if err = errors.Join(err, err2); err != nil {
+		return c, err
+	}
+	c.version, c.full = index, !q.Has("index")
+	c.wait = time.Duration(min(wait, uint64(maxWait.Milliseconds()))) * time.Millisecond
+	if c.service = q.Get(targets.QueryService); c.service == "" {
+		return c, nil
+	}
+	if c.report.InForce, err = uintParam(q.Get(targets.QueryInForce)); err != nil {
+		return c, fmt.Errorf("%s: %w", targets.QueryInForce, err)
+	}
+	if c.report.Refused, err = uintParam(q.Get(targets.QueryRefused)); err != nil {
+		return c, fmt.Errorf("%s: %w", targets.QueryRefused, err)
+	}
+	c.have = max(c.report.InForce, c.report.Refused)
+	c.agent, c.report.Why = q.Get(targets.QueryAgent), oneLine(q.Get(targets.QueryWhy), maxWhy)
+	return c, checkName(c.service)
+}
+
+// refuseStale answers 503 where this instance may not serve reads, and tells whether it did.
+func (n *Node) refuseStale(w http.ResponseWriter) bool {
+	err := n.fresh()
+	if err != nil {
+		w.Header().Set("Retry-After", "1")
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+	}
+	return err != nil
+}
+
 // fresh tells whether this instance may serve reads: it leads, or heard from a leader
 // within MaxStale.
 func (n *Node) fresh() error {
@@ -127,12 +174,16 @@
 			errors.Is(err, raft.ErrEnqueueTimeout) {
 			code = http.StatusServiceUnavailable
 		}
-		n.log.Warn("write not committed", "op", c.Op, "id", c.Server.ID, "err", err)
+		n.log.Warn("write not committed", "op", c.Op, "id", c.Server.ID+c.Service, "err", err)
 		http.Error(w, "not committed: "+err.Error(), code)
 		return
 	}
 	if err, ok := f.Response().(error); ok {
-		http.Error(w, err.Error(), http.StatusInternalServerError)
+		code := http.StatusInternalServerError
+		if errors.As(err, &conflict{}) {
+			code = http.StatusPreconditionFailed
+		}
+		http.Error(w, err.Error(), code)
 		return
 	}
 	writeJSON(w, http.StatusOK, map[string]uint64{"version": f.Response().(uint64)})
--- a/internal/listsvc/list.go
+++ b/internal/listsvc/list.go
@@ -14,11 +14,18 @@
 	"clayproxy.example/clayproxy/internal/targets"
 )
 
-// command is one write of the list, as it goes through the Raft log: Op "put" sets a
-// server's entry whole, Op "remove" takes it out (a change that says "removed").
+// command is one write, as it goes through the Raft log: Op "put" sets a server's entry
+// whole, Op "remove" takes it out (a change that says "removed"), Op "settings" sets the
+// whole settings of a service.
 type command struct {
-	Op     string         `json:"op"`
-	Server targets.Target `json:"server"`
+	Op      string         `json:"op"`
+	Server  targets.Target `json:"server"`
+	Service string         `json:"service,omitempty"`
+	Text    string         `json:"text,omitempty"`  // of the settings, byte for byte as it came
+	AtMs    int64          `json:"at_ms,omitempty"` // Unix time in ms at the leader that took it
+	// IfVersion is the version of the settings that the write replaces (0: none yet); nil:
+	// whichever is there.
+	IfVersion *uint64 `json:"if_version,omitempty"`
 }
 
 // change is one entry as a write left it, with the Raft index of that write.
@@ -28,7 +35,9 @@
 }
 
 // list is the replicated state machine (raft.FSM): the servers by id and the last
-// changes. version is the index of the last change; every change after floor is kept.
+// changes, and the last settings of each service, the oldest first. version is the index of
+// the last change of a server; every change after floor is kept. Writes of settings count by
+// the same index and leave version alone, so a watch of servers does not see them.
 type list struct {
 	mu      sync.RWMutex
 	servers map[string]targets.Target
@@ -37,17 +46,25 @@
 	version uint64
 	floor   uint64
 	keep    int
-	wake    chan struct{} // closed and replaced at each change
+	wake    chan struct{} // closed and replaced at each change of a server
+
+	settings      map[string][]SettingsVersion
+	settingsWakes [256]chan struct{} // by the hash of the service's name, as wake
 }
 
 func newList(keep int) *list {
-	return &list{servers: map[string]targets.Target{}, setAt: map[string]uint64{}, keep: keep, wake: make(chan struct{})}
+	l := &list{servers: map[string]targets.Target{}, setAt: map[string]uint64{}, keep: keep, wake: make(chan struct{}),
+		settings: map[string][]SettingsVersion{}}
+	for i := range l.settingsWakes {
+		l.settingsWakes[i] = make(chan struct{})
+	}
+	return l
 }
 
 // Apply carries out one committed write and returns its version (uint64): its own index,
 // or for a put that changes nothing the index that set the entry so, or for the removal
-// of what is not listed the present version. A command it cannot read changes nothing
-// and returns an error.
+// of what is not listed the present version. For settings see applySettings. A command it
+// cannot read changes nothing and returns an error.
 func (l *list) Apply(entry *raft.Log) any {
 	var c command
 	if err := json.Unmarshal(entry.Data, &c); err != nil {
@@ -55,6 +72,9 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if c.Op == "settings" {
+		return l.applySettings(c, entry.Index)
+	}
 	old, had := l.servers[c.Server.ID]
 	switch {
 	case c.Op == "put" && (!had || old != c.Server):
@@ -79,18 +99,37 @@
 	return l.version
 }
 
-// wakeWatches wakes every watch that waits; the caller holds mu.
+// wakeWatches wakes every watch that waits for a change of a server; the caller holds mu.
 func (l *list) wakeWatches() {
 	close(l.wake)
 	l.wake = make(chan struct{})
 }
 
-// since is the answer to a watch from version: the changes after it, each server once
-// in its last form, or the whole list where changes after it are no longer all kept.
-// It also gives the channel that closes at the next change.
-func (l *list) since(version uint64, full bool) (targets.List, <-chan struct{}) {
+// query is what a call of a watch asks for: the changes after version, or all with full;
+// and the settings of service, where one is named, if they are newer than have.
+type query struct {
+	version uint64
+	full    bool
+	service string
+	have    uint64
+}
+
+// since is the answer to a query: the changes after its version, each server once in its
+// last form, or the whole list where changes after it are no longer all kept; and newer
+// settings. It also gives the channels that close at the next change of a server and of the
+// service's settings (nil without a service; it may close for another's, see settingsWake).
+func (l *list) since(q query) (out targets.List, wake, settings <-chan struct{}) {
 	l.mu.RLock()
 	defer l.mu.RUnlock()
+	out = l.changesAfter(q.version, q.full)
+	if q.service != "" {
+		out.Settings, settings = l.newerSettings(q.service, q.have), *l.settingsWake(q.service)
+	}
+	return out, l.wake, settings
+}
+
+// changesAfter is the part of since's answer that is the servers'; the caller holds mu.
+func (l *list) changesAfter(version uint64, full bool) targets.List {
 	out := targets.List{Version: max(l.version, version), Servers: []targets.Target{}}
 	if full || version < l.floor {
 		out.Version, out.Full, out.Servers = l.version, true, l.all()
@@ -109,7 +148,7 @@
 		}
 	}
 	slices.SortFunc(out.Servers, byID)
-	return out, l.wake
+	return out
 }
 
 // all is every listed server by id; the caller holds mu.
@@ -124,7 +163,7 @@
 
 func byID(a, b targets.Target) int { return strings.Compare(a.ID, b.ID) }
 
-// current is the version of the last change applied here.
+// current is the version of the last change of a server applied here.
 func (l *list) current() uint64 {
 	l.mu.RLock()
 	defer l.mu.RUnlock()
@@ -138,6 +177,8 @@
 	Servers []targets.Target  `json:"servers"`
 	Changes []change          `json:"changes"`
 	SetAt   map[string]uint64 `json:"set_at"`
+	// Settings are not there in the snapshots of a program that did not keep any.
+	Settings map[string][]SettingsVersion `json:"settings,omitempty"`
 }
 
 // Snapshot keeps the whole state, changes too, so that a watch resumes across a
@@ -146,7 +187,7 @@
 	l.mu.RLock()
 	defer l.mu.RUnlock()
 	return image{Version: l.version, Floor: l.floor, Servers: l.all(), Changes: slices.Clone(l.changes),
-		SetAt: maps.Clone(l.setAt)}, nil
+		SetAt: maps.Clone(l.setAt), Settings: maps.Clone(l.settings)}, nil
 }
 
 // Restore replaces the state by a snapshot's (raft.FSM); watchers are woken.
@@ -166,6 +207,13 @@
 	if l.setAt == nil {
 		l.setAt = map[string]uint64{}
 	}
+	if l.settings = im.Settings; l.settings == nil {
+		l.settings = map[string][]SettingsVersion{}
+	}
+	for i := range l.settingsWakes {
+		close(l.settingsWakes[i])
+		l.settingsWakes[i] = make(chan struct{})
+	}
 	l.wakeWatches()
 	return nil
 }
--- a/internal/listsvc/node.go
+++ b/internal/listsvc/node.go
@@ -23,14 +23,17 @@
 	raftboltdb "github.com/hashicorp/raft-boltdb/v2"
 )
 
-// dataFormat is the layout of a data directory that this program writes and reads.
-const dataFormat = 1
+// dataFormat is the layout of a data directory that this program writes; it reads that and
+// older ones. 2: the log and the snapshots have settings, which a program of 1 would drop.
+const dataFormat = 2
 
-// Node is one running instance: its Raft member, its list, and its two HTTP doors.
+// Node is one running instance: its Raft member, its list, what it heard of agents, and its
+// two HTTP doors.
 type Node struct {
 	cfg    Config
 	log    *slog.Logger
 	list   *list
+	heard  *heard
 	raft   *raft.Raft
 	store  *raftboltdb.BoltStore
 	peers  map[raft.ServerID]Peer
@@ -48,7 +51,7 @@
 	if err := claimDir(cfg.DataDir); err != nil {
 		return nil, err
 	}
-	n := &Node{cfg: cfg, log: log, list: newList(cfg.KeepChanges), peers: map[raft.ServerID]Peer{},
+	n := &Node{cfg: cfg, log: log, list: newList(cfg.KeepChanges), heard: newHeard(), peers: map[raft.ServerID]Peer{},
 		closed: make(chan struct{})}
 	for _, p := range cfg.Peers {
 		n.peers[raft.ServerID(p.ID)] = p
@@ -142,24 +145,31 @@
 	return errors.Join(err, n.store.Close())
 }
 
-// claimDir makes the data directory or checks that its format is one this program reads.
+// claimDir makes the data directory, or checks that its format is one this program reads, and
+// marks it as of this program's.
 func claimDir(dir string) error {
 	if err := os.MkdirAll(dir, 0o755); err != nil {
 		return fmt.Errorf("data_dir: %w", err)
 	}
 	path := filepath.Join(dir, "FORMAT")
 	text, err := os.ReadFile(path)
-	if errors.Is(err, os.ErrNotExist) {
-		return os.WriteFile(path, []byte(strconv.Itoa(dataFormat)+"\n"), 0o644)
-	}
-	if err != nil {
+	if err != nil && !errors.Is(err, os.ErrNotExist) {
 		return fmt.Errorf("data_dir: %w", err)
 	}
-	got, err := strconv.Atoi(strings.TrimSpace(string(text)))
-	if err != nil || got > dataFormat {
-		return fmt.Errorf("data_dir %s: format %q, this program reads %d or older", dir, strings.TrimSpace(string(text)), dataFormat)
+	if err == nil {
+		got, err := strconv.Atoi(strings.TrimSpace(string(text)))
+		if err != nil || got > dataFormat {
+			return fmt.Errorf("data_dir %s: format %q, this program reads %d or older", dir, strings.TrimSpace(string(text)), dataFormat)
+		}
+		if got == dataFormat {
+			return nil
+		}
+	}
+	// Whole or not at all: an empty FORMAT would be refused.
+	if err := os.WriteFile(path+".new", []byte(strconv.Itoa(dataFormat)+"\n"), 0o644); err != nil {
+		return fmt.Errorf("data_dir: %w", err)
 	}
-	return nil
+	return os.Rename(path+".new", path)
 }
 
 // listen opens a TCP listener at host:port, or takes an inherited one at "fd:N".
