End an open watch with 503 once its instance may not serve reads any more

The watch looks again when what it knows of its leader runs out: after max_stale from the last that was heard, on a leader after its lease. threeNodes serves tests beside benchmarks.

--- a/internal/listsvc/bench_test.go
+++ b/internal/listsvc/bench_test.go
@@ -18,7 +18,7 @@
 )
 
 // threeNodes runs three instances in this process on loopback ports from the system.
-func threeNodes(b *testing.B, election time.Duration) ([]listsvc.Config, []*listsvc.Node) {
+func threeNodes(b testing.TB, election time.Duration) ([]listsvc.Config, []*listsvc.Node) {
 	addr := func() string {
 		ln, err := net.Listen("tcp", "127.0.0.1:0")
 		if err != nil {
--- a/internal/listsvc/http.go
+++ b/internal/listsvc/http.go
@@ -47,13 +47,13 @@
 // after index, waiting up to wait ms (60,000 at most) for one. A call that names a service
 // is answered too once its settings are newer than the call says the agent has, at once if
 // they are already, and what it says of the agent is remembered. A follower that has not
-// heard from a leader within MaxStale answers 503.
+// heard from a leader within MaxStale answers 503, also to a watch that is open.
 func (n *Node) serveTargets(w http.ResponseWriter, r *http.Request) {
 	c, err := readCall(r.URL.Query())
 	if err == nil && c.service != "" && c.agent != "" {
 		n.heard.note(c.service, c.agent, c.report, time.Now())
 	}
-	if n.refuseStale(w) {
+	if _, stale := n.refuseStale(w); stale {
 		return
 	}
 	if err != nil {
@@ -63,6 +63,10 @@
 	timer := time.NewTimer(c.wait)
 	defer timer.Stop()
 	for last := c.wait == 0; ; {
+		left, stale := n.refuseStale(w)
+		if stale {
+			return
+		}
 		out, wake, settings := n.list.since(c.query)
 		if c.full || out.Full || out.Version > c.version || out.Settings != nil || last {
 			writeJSON(w, http.StatusOK, out)
@@ -74,6 +78,7 @@
 		case <-settings: // perhaps another service's
 		case <-timer.C:
 			last = true
+		case <-time.After(left): // look again whether a leader has been heard
 		case <-r.Context().Done():
 			return
 		case <-n.closed:
@@ -113,29 +118,34 @@
 	return c, checkName(c.service)
 }
 
-// refuseStale answers 503 where this instance may not serve reads, and tells whether it did.
-func (n *Node) refuseStale(w http.ResponseWriter) bool {
-	err := n.fresh()
+// refuseStale answers 503 where this instance may not serve reads, and tells whether it did;
+// if not, for how long that holds.
+func (n *Node) refuseStale(w http.ResponseWriter) (time.Duration, bool) {
+	left, err := n.fresh()
 	if err != nil {
 		w.Header().Set("Retry-After", "1")
 		http.Error(w, err.Error(), http.StatusServiceUnavailable)
 	}
-	return err != nil
+	return left, err != nil
 }
 
 // fresh tells whether this instance may serve reads: it leads, or heard from a leader
-// within MaxStale.
-func (n *Node) fresh() error {
+// within MaxStale; and after how long that has to be asked again, if nothing more is heard.
+func (n *Node) fresh() (time.Duration, error) {
 	if n.raft.State() == raft.Leader {
-		return nil
+		return min(n.cfg.MaxStale, n.lease()), nil
 	}
 	last := n.raft.LastContact()
-	if last.IsZero() || time.Since(last) > n.cfg.MaxStale {
-		return fmt.Errorf("listsvc %s: no leader heard within %v", n.cfg.ID, n.cfg.MaxStale)
+	left := n.cfg.MaxStale - time.Since(last)
+	if last.IsZero() || left < 0 {
+		return 0, fmt.Errorf("listsvc %s: no leader heard within %v", n.cfg.ID, n.cfg.MaxStale)
 	}
-	return nil
+	return left + time.Millisecond, nil
 }
 
+// lease is for how long a leader that hears no majority leads on.
+func (n *Node) lease() time.Duration { return n.cfg.ElectionTimeout / 2 }
+
 // servePut sets a server's entry whole from a JSON body in the shape of targets.Target.
 func (n *Node) servePut(w http.ResponseWriter, r *http.Request) {
 	if n.redirect(w, r) {
--- a/internal/listsvc/node.go
+++ b/internal/listsvc/node.go
@@ -87,7 +87,7 @@
 	rc.LocalID = raft.ServerID(cfg.ID)
 	rc.SnapshotThreshold, rc.TrailingLogs = cfg.SnapshotEvery, cfg.TrailingLogs
 	rc.HeartbeatTimeout, rc.ElectionTimeout = cfg.ElectionTimeout, cfg.ElectionTimeout
-	rc.LeaderLeaseTimeout = cfg.ElectionTimeout / 2
+	rc.LeaderLeaseTimeout = n.lease()
 	rc.Logger = hclog.New(&hclog.LoggerOptions{Name: "raft", Level: hclog.Warn, Output: os.Stderr})
 	store, err := raftboltdb.NewBoltStore(filepath.Join(cfg.DataDir, "raft.db"))
 	if err != nil {
--- a/internal/listsvc/settings_http.go
+++ b/internal/listsvc/settings_http.go
@@ -92,7 +92,7 @@
 // kept is what is kept of the path's service's settings. It answers and gives false where
 // that is nothing, or where this instance may not serve reads.
 func (n *Node) kept(w http.ResponseWriter, r *http.Request) ([]SettingsVersion, bool) {
-	if n.refuseStale(w) {
+	if _, stale := n.refuseStale(w); stale {
 		return nil, false
 	}
 	kept := n.list.history(r.PathValue("service"))
