Answer a version from the future with the whole list, never with an echo of it

An instance asked for changes after a version that it has not applied learns first what is committed (its own log by a barrier if it leads, else the leader's by GET /v1/status?consistent=true; ten a second at most, shared by those who wait), and waits until it has applied that. Then it knows: a version that is newer still was given by nobody and gets the whole list; otherwise the instance only lagged. Where it can't know within half a second it answers 503, so nobody who moves to an instance that lags is thrown back to an older list.

--- a/internal/listsvc/http.go
+++ b/internal/listsvc/http.go
@@ -47,7 +47,8 @@
 // after index, waiting up to wait ms (60,000 at most) for one. A call that names a service
 // is answered too once its settings are newer than the call says the agent has, at once if
 // they are already, and what it says of the agent is remembered. A follower that has not
-// heard from a leader within MaxStale answers 503, also to a watch that is open.
+// heard from a leader within MaxStale answers 503, also to a watch that is open. What an
+// index gets that is newer than the list applied here stands at settle.
 func (n *Node) serveTargets(w http.ResponseWriter, r *http.Request) {
 	c, err := readCall(r.URL.Query())
 	if err == nil && c.service != "" && c.agent != "" {
@@ -60,6 +61,13 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
+	whole, err := n.settle(r.Context(), c.version)
+	if err != nil {
+		w.Header().Set("Retry-After", "1")
+		http.Error(w, fmt.Sprintf("listsvc %s: %v", n.cfg.ID, err), http.StatusServiceUnavailable)
+		return
+	}
+	c.full = c.full || whole
 	timer := time.NewTimer(c.wait)
 	defer timer.Stop()
 	for last := c.wait == 0; ; {
@@ -225,7 +233,15 @@
 	Applied uint64 `json:"applied"` // Raft index applied here
 }
 
+// serveStatus answers this instance's Status; with ?consistent=true the leader's after a
+// barrier, so that it has applied all that was committed before, and 503 anywhere else.
 func (n *Node) serveStatus(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Query().Get("consistent") == "true" {
+		if err := n.raft.Barrier(consistentWithin).Error(); err != nil {
+			http.Error(w, "not consistent: "+err.Error(), http.StatusServiceUnavailable)
+			return
+		}
+	}
 	_, leader := n.raft.LeaderWithID()
 	writeJSON(w, http.StatusOK, Status{ID: n.cfg.ID, State: n.raft.State().String(),
 		Leader: string(leader), Version: n.list.current(), Applied: n.raft.AppliedIndex()})
--- a/internal/listsvc/list.go
+++ b/internal/listsvc/list.go
@@ -170,6 +170,13 @@
 	return l.version
 }
 
+// applied is current, and the channel that closes at the next change of a server.
+func (l *list) applied() (uint64, <-chan struct{}) {
+	l.mu.RLock()
+	defer l.mu.RUnlock()
+	return l.version, l.wake
+}
+
 // image is what a snapshot holds.
 type image struct {
 	Version uint64            `json:"version"`
--- a/internal/listsvc/node.go
+++ b/internal/listsvc/node.go
@@ -21,6 +21,7 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/hashicorp/raft"
 	raftboltdb "github.com/hashicorp/raft-boltdb/v2"
+	"golang.org/x/time/rate"
 )
 
 // dataFormat is the layout of a data directory that this program writes; it reads that and
@@ -30,15 +31,16 @@
 // Node is one running instance: its Raft member, its list, what it heard of agents, and its
 // two HTTP doors.
 type Node struct {
-	cfg    Config
-	log    *slog.Logger
-	list   *list
-	heard  *heard
-	raft   *raft.Raft
-	store  *raftboltdb.BoltStore
-	peers  map[raft.ServerID]Peer
-	doors  []*http.Server
-	closed chan struct{}
+	cfg     Config
+	log     *slog.Logger
+	list    *list
+	heard   *heard
+	barrier barrier
+	raft    *raft.Raft
+	store   *raftboltdb.BoltStore
+	peers   map[raft.ServerID]Peer
+	doors   []*http.Server
+	closed  chan struct{}
 }
 
 // Start opens the data directory, joins or founds the cluster, and serves reads on
@@ -51,7 +53,8 @@
 	if err := claimDir(cfg.DataDir); err != nil {
 		return nil, err
 	}
-	n := &Node{cfg: cfg, log: log, list: newList(cfg.KeepChanges), heard: newHeard(), peers: map[raft.ServerID]Peer{},
+	n := &Node{cfg: cfg, log: log, list: newList(cfg.KeepChanges), heard: newHeard(),
+		barrier: barrier{pace: rate.NewLimiter(barriersPerS, 1)}, peers: map[raft.ServerID]Peer{},
 		closed: make(chan struct{})}
 	for _, p := range cfg.Peers {
 		n.peers[raft.ServerID(p.ID)] = p
--- a/internal/listsvc/watch_test.go
+++ b/internal/listsvc/watch_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"testing"
 	"time"
 
@@ -46,3 +47,39 @@
 		})
 	}
 }
+
+// TestWatchFromTheFuture: a version that nobody gave gets the whole list from the leader and
+// from a follower; one that a follower has not applied yet, as its link to the leader is
+// slow, gets nothing older from it.
+func TestWatchFromTheFuture(t *testing.T) {
+	c := startList(t)
+	lead := ""
+	if err := cluster.Await(20*time.Second, "a leader and a write everywhere", func() bool {
+		lead = leader(c)
+		return lead != "" && put(c, "s-1") != 0 && !slices.ContainsFunc(names, func(n string) bool { return !listed(c, n, "s-1") })
+	}); err != nil {
+		t.Fatal(err)
+	}
+	for _, n := range names {
+		at := c.Addr(n, "http") + "/api/targets?wait=500&index="
+		if l := ask("GET", at+"99999", "").list(t); !l.Full || l.Version > 999 || len(l.Servers) != 1 {
+			t.Errorf("%s (leader %s) answers version 99999 with %+v, want the whole list", n, lead, l)
+		}
+	}
+	lag := names[(slices.Index(names, lead)+1)%3]
+	slow, err := c.Link(lead, lag, "raft")
+	if err != nil {
+		t.Fatal(err)
+	}
+	slow.SetDelay(150 * time.Millisecond)
+	for i := range 5 {
+		v := write(c.Addr(lead, "admin"), fmt.Sprint("new-", i))
+		a := ask("GET", fmt.Sprintf("%s/api/targets?wait=0&index=%d", c.Addr(lag, "http"), v), "")
+		if a.code == http.StatusServiceUnavailable {
+			continue // it can't know: the caller goes to another
+		}
+		if l := a.list(t); l.Version < v || l.Full {
+			t.Errorf("version %d of the leader's got %+v at a slow follower", v, l)
+		}
+	}
+}
