--- a/cmd/fernlist/main.go
+++ b/cmd/fernlist/main.go
@@ -1,6 +1,7 @@
 // Command fernlist is the project's list service and its fleet tools: serve runs one
 // instance (internal/listsvc), put and remove write the list through any instance's admin
-// door, status tells an instance's state.
+// door, settings writes and reads those of a service's agents and tells who has them in
+// force, status tells an instance's state.
 package main
 
 import (
@@ -9,6 +10,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"maps"
 	"net/http"
 	"os"
 	"os/signal"
@@ -31,7 +33,7 @@
 func root() *cobra.Command {
 	cmd := &cobra.Command{Use: "fernlist", Short: "the replicated list service and its tools",
 		SilenceUsage: true, SilenceErrors: true}
-	cmd.AddCommand(serveCmd(), putCmd(), removeCmd(), statusCmd())
+	cmd.AddCommand(serveCmd(), putCmd(), removeCmd(), statusCmd(), settingsCmd())
 	return cmd
 }
 
@@ -113,21 +115,37 @@
 	cmd.Flags().StringVar(admin, "admin", "127.0.0.1:7401", "admin address of any instance (host:port)")
 }
 
+// callWithin bounds an admin call: longer than a write may wait for its commit.
+const callWithin = 10 * time.Second
+
 // call makes one admin call, following a redirect to the leader, and prints the answer.
 func call(method, admin, path string, body []byte) error {
+	text, err := fetch(method, admin, path, body, nil)
+	if err == nil {
+		_, err = os.Stdout.Write(text)
+	}
+	return err
+}
+
+// fetch makes one admin call, following a redirect to the leader, and gives the answer.
+func fetch(method, admin, path string, body []byte, header http.Header) ([]byte, error) {
 	req, err := http.NewRequest(method, "http://"+admin+path, bytes.NewReader(body))
 	if err != nil {
-		return err
+		return nil, err
 	}
-	resp, err := (&http.Client{Timeout: 10 * time.Second}).Do(req)
+	maps.Copy(req.Header, header)
+	resp, err := (&http.Client{Timeout: callWithin}).Do(req)
 	if err != nil {
-		return err
+		return nil, err
 	}
 	defer resp.Body.Close()
 	text, _ := io.ReadAll(io.LimitReader(resp.Body, 1<<20))
 	if resp.StatusCode != http.StatusOK {
-		return fmt.Errorf("%s %s: %s: %s", method, path, resp.Status, bytes.TrimSpace(text))
+		return nil, refusal(method, path, resp, text)
 	}
-	_, err = os.Stdout.Write(text)
-	return err
+	return text, nil
+}
+
+func refusal(method, path string, resp *http.Response, text []byte) error {
+	return fmt.Errorf("%s %s: %s: %s", method, path, resp.Status, bytes.TrimSpace(text))
 }
--- /dev/null
+++ b/cmd/fernlist/settings_test.go
@@ -0,0 +1,111 @@
+package main
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"clayproxy.example/clayproxy/internal/cluster"
+	"clayproxy.example/clayproxy/internal/listsvc"
+)
+
+const settings = `{"classes": [{"name":"read","aimMs":20,"giveUpMs":40,"effect":"free"}],
+ "limits": {"maxAttempts":3}, "membershipMode": "pushed"}
+`
+
+// fernlist runs a command line with a text as its standard input.
+func fernlist(in string, args ...string) (out, errs string, err error) {
+	cmd := root()
+	var o, e bytes.Buffer
+	cmd.SetArgs(args)
+	cmd.SetIn(strings.NewReader(in))
+	cmd.SetOut(&o)
+	cmd.SetErr(&e)
+	err = cmd.Execute()
+	return o.String(), e.String(), err
+}
+
+// TestSettings: put, get and history give back what was put, byte for byte; what is refused
+// is told in one line.
+func TestSettings(t *testing.T) {
+	held := httptest.NewServer(nil) // an address of the admin door's that nobody else takes
+	admin := held.Listener.Addr().String()
+	held.Close()
+	n, err := listsvc.Start(listsvc.Config{ID: "n1", DataDir: t.TempDir(), RaftAddr: "127.0.0.1:0", HTTPAddr: "127.0.0.1:0",
+		AdminAddr: admin, Bootstrap: true, MaxStale: time.Second, ElectionTimeout: 100 * time.Millisecond, KeepChanges: 64,
+		SnapshotEvery: 8192, TrailingLogs: 1024}, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer n.Close()
+	file := filepath.Join(t.TempDir(), "pay.json")
+	if err := os.WriteFile(file, []byte(settings), 0o644); err != nil {
+		t.Fatal(err)
+	}
+	var out string
+	if err := cluster.Await(20*time.Second, "a first write", func() (ok bool) {
+		out, _, err = fernlist("", "settings", "put", "pay", file, "--admin", admin)
+		return err == nil
+	}); err != nil {
+		t.Fatal(err)
+	}
+	var first, second uint64
+	fmt.Sscanf(out, `{"version":%d}`, &first)
+	out, _, err = fernlist(settings+" ", "settings", "put", "pay", "-", "--if-version", fmt.Sprint(first), "--admin", admin)
+	if fmt.Sscanf(out, `{"version":%d}`, &second); err != nil || first == 0 || second <= first {
+		t.Fatalf("versions %d and %d, %v", first, second, err)
+	}
+	for bad, want := range map[string]string{
+		settings: fmt.Sprintf("412 Precondition Failed: settings of pay: version %d is in place, not 0", second),
+		strings.Replace(settings, "20", `"x"`, 1): "400 Bad Request: settings: classes.aimMs: cannot be a string",
+	} {
+		if _, _, err := fernlist(bad, "settings", "put", "pay", "-", "--if-version=0", "--admin", admin); err == nil || !strings.HasSuffix(err.Error(), want) {
+			t.Errorf("put says %v, want %q", err, want)
+		}
+	}
+	for args, want := range map[string]string{"": settings + " ", fmt.Sprint("--version=", first): settings} {
+		if out, _, err := fernlist("", append([]string{"settings", "get", "pay", "--admin", admin}, strings.Fields(args)...)...); out != want || err != nil {
+			t.Errorf("get %s: %q, %v", args, out, err)
+		}
+	}
+	out, _, err = fernlist("", "settings", "history", "pay", "--admin", admin)
+	if lines := strings.Split(strings.TrimSpace(out), "\n"); err != nil || len(lines) != 3 || !strings.HasPrefix(lines[1], fmt.Sprint(second, " ")) {
+		t.Errorf("history, %v:\n%s", err, out)
+	}
+}
+
+// TestSettingsStatus gathers what instances heard: of an agent that two heard the last word
+// counts, who lacks the newest is named with why, and so is an instance that is not reached.
+func TestSettingsStatus(t *testing.T) {
+	instance := func(h string) string {
+		s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { io.WriteString(w, h) }))
+		t.Cleanup(s.Close)
+		return s.Listener.Addr().String()
+	}
+	n2 := instance(`{"version":9,"agents":[{"agent":"p2","silent_ms":30000,"in_force":7,"refused":9,"why":"no room"}]}`)
+	peers, _ := json.Marshal(map[string]string{"n2": n2, "n3": "127.0.0.1:1"})
+	n1 := instance(fmt.Sprintf(`{"version":7,"peers":%s,"agents":[{"agent":"p1","silent_ms":5,"in_force":9},{"agent":"p2","silent_ms":60000,"in_force":0}]}`, peers))
+	out, _, err := fernlist("", "settings", "status", "pay", "--admin", n1)
+	if err == nil || err.Error() != "1 of 2 agents lack version 9" {
+		t.Errorf("status ends with %v", err)
+	}
+	got := strings.Join(strings.Fields(out), " ")
+	for _, want := range []string{"newest version 9; 2 agents heard by 2 of 3 instances", "not reached: n3 at 127.0.0.1:1",
+		"IN FORCE AGENTS 9 1 7 1", "LACKS 9 IN FORCE SILENT FOR REFUSED WHY p2 7 30s 9 no room", "SILENT OVER 10s"} {
+		if !strings.Contains(got, want) {
+			t.Errorf("status lacks %q:\n%s", want, out)
+		}
+	}
+	if _, _, err := fernlist("", "settings", "status", "pay", "--admin", instance(`{"agents":[]}`)); err == nil {
+		t.Error("status of a service without settings is no error")
+	}
+}
