--- a/internal/listsvc/http.go
+++ b/internal/listsvc/http.go
@@ -7,6 +7,7 @@
 	"io"
 	"math"
 	"net/http"
+	"net/url"
 	"strconv"
 	"time"
 
@@ -35,39 +36,57 @@
 	mux.HandleFunc("PUT /v1/servers/{id}", n.servePut)
 	mux.HandleFunc("DELETE /v1/servers/{id}", n.serveRemove)
 	mux.HandleFunc("GET /v1/status", n.serveStatus)
+	mux.HandleFunc("PUT /v1/settings/{service}", n.servePutSettings)
+	mux.HandleFunc("GET /v1/settings/{service}", n.serveSettings)
+	mux.HandleFunc("GET /v1/settings/{service}/history", n.serveHistory)
+	mux.HandleFunc("GET /v1/settings/{service}/heard", n.serveHeard)
 	return mux
 }
 
 // serveTargets answers GET /api/targets: the whole list without index, else the changes
-// after index, waiting up to wait ms (60,000 at most) for one. A follower that has not
-// heard from a leader within MaxStale answers 503.
+// after index, waiting up to wait ms (60,000 at most) for one. A call that names a service
+// is answered too once its settings are newer than the call says the agent has, at once if
+// they are already, and what it says of the agent is remembered. A follower that has not
+// heard from a leader within MaxStale answers 503, also to a watch that is open. What an
+// index gets that is newer than the list applied here stands at settle.
 func (n *Node) serveTargets(w http.ResponseWriter, r *http.Request) {
-	if err := n.fresh(); err != nil {
-		w.Header().Set("Retry-After", "1")
-		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+	c, err := readCall(r.URL.Query())
+	if err == nil && c.service != "" && c.agent != "" {
+		n.heard.note(c.service, c.agent, c.report, time.Now())
+	}
+	if _, stale := n.refuseStale(w); stale {
 		return
 	}
-	q := r.URL.Query()
-	index, err := uintParam(q.Get("index"))
-	wait, err2 := uintParam(q.Get("wait"))
-	if err = errors.Join(err, err2); err != nil {
+	if err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	full := !q.Has("index")
-	timer := time.NewTimer(time.Duration(min(wait, uint64(maxWait.Milliseconds()))) * time.Millisecond)
+	whole, err := n.settle(r.Context(), c.version)
+	if err != nil {
+		w.Header().Set("Retry-After", "1")
+		http.Error(w, fmt.Sprintf("listsvc %s: %v", n.cfg.ID, err), http.StatusServiceUnavailable)
+		return
+	}
+	c.full = c.full || whole
+	timer := time.NewTimer(c.wait)
 	defer timer.Stop()
-	for {
-		out, wake := n.list.since(index, full)
-		if full || out.Full || out.Version > index || wait == 0 {
+	for last := c.wait == 0; ; {
+		left, stale := n.refuseStale(w)
+		if stale {
+			return
+		}
+		out, wake, settings := n.list.since(c.query)
+		if c.full || out.Full || out.Version > c.version || out.Settings != nil || last {
 			writeJSON(w, http.StatusOK, out)
 			return
 		}
 		select {
 		case <-wake:
-			wait = 0 // answer with what woke it, or with nothing if it was no change
+			last = true // answer with what woke it, or with nothing if it was no change
+		case <-settings: // perhaps another service's
 		case <-timer.C:
-			wait = 0
+			last = true
+		case <-time.After(left): // look again whether a leader has been heard
 		case <-r.Context().Done():
 			return
 		case <-n.closed:
@@ -76,19 +95,65 @@
 	}
 }
 
+// watchCall is one call of GET /api/targets.
+type watchCall struct {
+	query
+	wait   time.Duration
+	agent  string
+	report AgentReport
+}
+
+// readCall reads a call's parameters; of settings only where it names a service.
+func readCall(q url.Values) (c watchCall, err error) {
+	index, err := uintParam(q.Get("index"))
+	wait, err2 := uintParam(q.Get("wait"))
+	if err = errors.Join(err, err2); err != nil {
+		return c, err
+	}
+	c.version, c.full = index, !q.Has("index")
+	c.wait = time.Duration(min(wait, uint64(maxWait.Milliseconds()))) * time.Millisecond
+	if c.service = q.Get(targets.QueryService); c.service == "" {
+		return c, nil
+	}
+	if c.report.InForce, err = uintParam(q.Get(targets.QueryInForce)); err != nil {
+		return c, fmt.Errorf("%s: %w", targets.QueryInForce, err)
+	}
+	if c.report.Refused, err = uintParam(q.Get(targets.QueryRefused)); err != nil {
+		return c, fmt.Errorf("%s: %w", targets.QueryRefused, err)
+	}
+	c.have = max(c.report.InForce, c.report.Refused)
+	c.agent, c.report.Why = q.Get(targets.QueryAgent), oneLine(q.Get(targets.QueryWhy), maxWhy)
+	return c, checkName(c.service)
+}
+
+// refuseStale answers 503 where this instance may not serve reads, and tells whether it did;
+// if not, for how long that holds.
+func (n *Node) refuseStale(w http.ResponseWriter) (time.Duration, bool) {
+	left, err := n.fresh()
+	if err != nil {
+		w.Header().Set("Retry-After", "1")
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+	}
+	return left, err != nil
+}
+
 // fresh tells whether this instance may serve reads: it leads, or heard from a leader
-// within MaxStale.
-func (n *Node) fresh() error {
+// within MaxStale; and after how long that has to be asked again, if nothing more is heard.
+func (n *Node) fresh() (time.Duration, error) {
 	if n.raft.State() == raft.Leader {
-		return nil
+		return min(n.cfg.MaxStale, n.lease()), nil
 	}
 	last := n.raft.LastContact()
-	if last.IsZero() || time.Since(last) > n.cfg.MaxStale {
-		return fmt.Errorf("listsvc %s: no leader heard within %v", n.cfg.ID, n.cfg.MaxStale)
+	left := n.cfg.MaxStale - time.Since(last)
+	if last.IsZero() || left < 0 {
+		return 0, fmt.Errorf("listsvc %s: no leader heard within %v", n.cfg.ID, n.cfg.MaxStale)
 	}
-	return nil
+	return left + time.Millisecond, nil
 }
 
+// lease is for how long a leader that hears no majority leads on.
+func (n *Node) lease() time.Duration { return n.cfg.ElectionTimeout / 2 }
+
 // servePut sets a server's entry whole from a JSON body in the shape of targets.Target.
 func (n *Node) servePut(w http.ResponseWriter, r *http.Request) {
 	if n.redirect(w, r) {
@@ -127,12 +192,16 @@
 			errors.Is(err, raft.ErrEnqueueTimeout) {
 			code = http.StatusServiceUnavailable
 		}
-		n.log.Warn("write not committed", "op", c.Op, "id", c.Server.ID, "err", err)
+		n.log.Warn("write not committed", "op", c.Op, "id", c.Server.ID+c.Service, "err", err)
 		http.Error(w, "not committed: "+err.Error(), code)
 		return
 	}
 	if err, ok := f.Response().(error); ok {
-		http.Error(w, err.Error(), http.StatusInternalServerError)
+		code := http.StatusInternalServerError
+		if errors.As(err, &conflict{}) {
+			code = http.StatusPreconditionFailed
+		}
+		http.Error(w, err.Error(), code)
 		return
 	}
 	writeJSON(w, http.StatusOK, map[string]uint64{"version": f.Response().(uint64)})
@@ -164,7 +233,15 @@
 	Applied uint64 `json:"applied"` // Raft index applied here
 }
 
+// serveStatus answers this instance's Status; with ?consistent=true the leader's after a
+// barrier, so that it has applied all that was committed before, and 503 anywhere else.
 func (n *Node) serveStatus(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Query().Get("consistent") == "true" {
+		if err := n.raft.Barrier(consistentWithin).Error(); err != nil {
+			http.Error(w, "not consistent: "+err.Error(), http.StatusServiceUnavailable)
+			return
+		}
+	}
 	_, leader := n.raft.LeaderWithID()
 	writeJSON(w, http.StatusOK, Status{ID: n.cfg.ID, State: n.raft.State().String(),
 		Leader: string(leader), Version: n.list.current(), Applied: n.raft.AppliedIndex()})
