fernlab capacity: what was measured held to the target, row by row, with a ranking

The page needs its tables made from records, so that they say what was measured and no more. Rows for agents, list instances, changes in force and the data path (Go benchmark output by x/perf), each with its figure at the target, budget, use, fit, sizes, miss of the size left out, the agents it is from and what carries it (docs/capacity/mechanisms.toml; a row that none names has none). Hollow figures are held to the real ones' of the same runs: taken, divided by the ratio, or not used.

--- a/internal/capacity/fit.go
+++ b/internal/capacity/fit.go
@@ -236,9 +236,18 @@
 	return slope
 }
 
-// like tells whether another's x is in effect a multiple of this one's.
+// like tells whether another's x is in effect a multiple of this one's, so that the points can't
+// tell them apart: n × changes and n where the changes are as many at each size, or n² where they
+// grow with it; there the changes are drawn, and what they vary by is no ground for an alarm.
 func (l line) like(o line) bool {
-	return l.shape != Flat && o.shape != Flat && (l.shape == ByChange || o.shape == ByChange) && math.Abs(stat.Correlation(l.xs, o.xs, nil)) > 0.999
+	if l.shape == Flat || o.shape == Flat || (l.shape != ByChange && o.shape != ByChange) {
+		return false
+	}
+	alike := 0.999
+	if l.shape == Square || o.shape == Square {
+		alike = 0.98
+	}
+	return math.Abs(stat.Correlation(l.xs, o.xs, nil)) > alike
 }
 
 func (l line) t() float64 { return distuv.StudentsT{Mu: 0, Sigma: 1, Nu: l.free}.Quantile(0.975) }
--- /dev/null
+++ b/internal/capacity/page_test.go
@@ -0,0 +1,406 @@
+package capacity
+
+import (
+	"bytes"
+	"fmt"
+	"maps"
+	"math"
+	"os"
+	"regexp"
+	"slices"
+	"strings"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+const mechanismsFile = "../../docs/capacity/mechanisms.toml"
+
+// tables are a page's tables from runs and benchmark files.
+func tables(t interface {
+	Fatal(...any)
+	Helper()
+}, runs []*Run, benches ...string) (string, *Page) {
+	t.Helper()
+	target, err := LoadTarget(targetFile)
+	if err != nil {
+		t.Fatal(err)
+	}
+	m, err := LoadMechanisms(mechanismsFile)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var read []*Bench
+	for _, path := range benches {
+		b, err := ReadBench(path)
+		if err != nil {
+			t.Fatal(err)
+		}
+		read = append(read, b)
+	}
+	var records []Record
+	if runs != nil {
+		records = []Record{{Path: "made-up.jsonl", Runs: runs}}
+	}
+	p, err := NewPage(target, m, records, read)
+	if err != nil {
+		t.Fatal(err)
+	}
+	p.Command = "fernlab capacity"
+	var b bytes.Buffer
+	if err := p.Write(&b); err != nil {
+		t.Fatal(err)
+	}
+	return b.String(), p
+}
+
+func madeUp(t *testing.T) []*Run {
+	t.Helper()
+	runs, err := ReadRuns("testdata/made-up.jsonl")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return runs
+}
+
+// flawed says what no page may have: a figure that is none, an empty cell, a line of a table with
+// more or fewer cells than its head.
+func flawed(text string) string {
+	if found := regexp.MustCompile(`NaN|\bInf|%!`).FindString(text); found != "" {
+		return found
+	}
+	cells := 0
+	for _, line := range strings.Split(text, "\n") {
+		if !strings.HasPrefix(line, "|") {
+			cells = 0
+			continue
+		}
+		parts := strings.Split(strings.Trim(line, "|"), "|")
+		if cells == 0 {
+			cells = len(parts)
+		}
+		if len(parts) != cells {
+			return fmt.Sprintf("%d cells of %d: %s", len(parts), cells, line)
+		}
+		for _, p := range parts {
+			if strings.TrimSpace(p) == "" {
+				return "an empty cell: " + line
+			}
+		}
+	}
+	return ""
+}
+
+func (p *Page) row(t *testing.T, name string) *Row {
+	t.Helper()
+	for _, r := range p.rows {
+		if r.Name() == name {
+			return r
+		}
+	}
+	t.Fatal("no row ", name)
+	return nil
+}
+
+// theLine is the one line of a text that holds all the words.
+func theLine(t *testing.T, text string, words ...string) string {
+	t.Helper()
+	var found []string
+	for _, l := range strings.Split(text, "\n") {
+		if !slices.ContainsFunc(words, func(w string) bool { return !strings.Contains(l, w) }) {
+			found = append(found, l)
+		}
+	}
+	if len(found) != 1 {
+		t.Fatalf("%d lines with %q: %q", len(found), words, found)
+	}
+	return found[0]
+}
+
+func TestPageOfNothing(t *testing.T) {
+	text, p := tables(t, nil, "testdata/none.txt")
+	if f := flawed(text); f != "" {
+		t.Error(f)
+	}
+	for _, r := range p.rows {
+		if r.Known || r.atTarget() != "not measured" || r.Budget > 0 && r.use() != "not measured" {
+			t.Errorf("%s: %q, use %q", r.Name(), r.atTarget(), r.use())
+		}
+	}
+	ranked, _ := p.Ranked()
+	for _, r := range ranked {
+		if !r.Daily || r.Carried() {
+			t.Errorf("%s is ranked with nothing measured", r.Name())
+		}
+	}
+}
+
+func TestPageOfMadeUpRuns(t *testing.T) {
+	text, p := tables(t, madeUp(t), "testdata/made-up-path.txt", "testdata/made-up-decision.txt")
+	if f := flawed(text); f != "" {
+		t.Error(f)
+	}
+	// The laws that the runs were made up by, at 1,500.
+	for name, want := range map[string]float64{
+		"agent/quiet/state":           3000,
+		"agent/quiet/bytes":           200 + 1.5*1500,
+		"agent/quiet/processor":       0.2 + 0.0005*1500, // hollow takes half
+		"agent/quiet/memory":          14 + 0.02*1500,    // hollow has less by what does not grow
+		"agent/rollout/bytes":         200 + 4.5*1500,
+		"agent/ordinary/bytes":        200 + 1.5*1500*(1+1.0/200), // hurried by 200
+		"list leader/quiet/live heap": 8 + 0.03*1500,
+		"data path/calm/added":        410,
+	} {
+		r := p.row(t, name)
+		if !r.Known || math.Abs(r.Value/want-1) > 0.15 || r.Extrapolated == (r.Subject == subjectPath) {
+			t.Errorf("%s: %s (known %v, extrapolated %v), want some %s", name, r.atTarget(), r.Known, r.Extrapolated, num(want))
+		}
+	}
+	for name, want := range map[string]string{
+		"agent/quiet/bytes":              "hollow",
+		"agent/quiet/memory":             "real; hollow not used",
+		"agent/ordinary/processor":       "hollow ÷ 0.501; scaled from ×200 the rates",
+		"agent/ordinary/live heap":       "hollow; at ×200 the rates",
+		"list follower/quiet/live heap":  "",
+		"agent/region/processor":         "hollow ÷ 0.501",
+		"list follower/control/messages": "",
+	} {
+		if got := p.row(t, name).Source; got != want {
+			t.Errorf("%s is from %q, want %q", name, got, want)
+		}
+	}
+	if r := p.row(t, "agent/region/bytes"); r.Known || !strings.Contains(r.atTarget(), "no fit: 2 of 3 sizes") {
+		t.Errorf("two sizes: %q", r.atTarget())
+	}
+	if r := p.row(t, "list leader/ordinary/messages"); r.Fit == nil || r.Fit.Shape != ByChange {
+		t.Errorf("the leader's messages: %s", r.Fit.slope())
+	}
+	theLine(t, text, "made-up, none | quiet | 70 × 3, 120 × 3, 220 × 2, 420 × 3 |", "| 1: made up as late |")
+	theLine(t, text, "made-up, none | rollout |", "420 × 1", "| 3 | 0 | nothing |")
+	theLine(t, text, "made-up, none | zone |", "list follower: made up as missing")
+	theLine(t, text, "| 1500 | demoted | not measured |")
+	theLine(t, text, "| list | zone | 420 (3) |", "| 21 |")
+}
+
+func TestRanking(t *testing.T) {
+	_, p := tables(t, madeUp(t), "testdata/made-up-path.txt")
+	ranked, rest := p.Ranked()
+	if len(ranked) < 5 || ranked[0].Name() != "in force/ordinary/settings" || ranked[1].Name() != "in force/zone/list" {
+		t.Fatalf("ranked first: %v, %v", ranked[0].Name(), ranked[1].Name())
+	}
+	last := math.Inf(1)
+	for _, r := range ranked[2:] {
+		use, _, ok := r.Use()
+		if !ok || use > last {
+			t.Errorf("%s has use %v (%v), below %v", r.Name(), use, ok, last)
+		}
+		last = use
+	}
+	for _, r := range rest {
+		if r.Known {
+			t.Errorf("%s is known and not ranked", r.Name())
+		}
+	}
+	// With something that carries them, settings are ranked as all else is.
+	for _, r := range p.rows {
+		r.Mechanism = "watch"
+	}
+	if ranked, rest := p.Ranked(); ranked[0].Name() != "in force/zone/list" || !slices.Contains(rest, p.row(t, "in force/ordinary/settings")) {
+		t.Errorf("carried: %s is first", ranked[0].Name())
+	}
+}
+
+// What is over its budget at a size that was run needs no fit.
+func TestOverBudgetAtASizeThatWasRun(t *testing.T) {
+	runs := []*Run{someRun()}
+	runs[0].Roles[RoleReal].Mean[ResidentMB] = 128
+	_, p := tables(t, runs)
+	if r := p.row(t, "agent/quiet/memory"); r.Known || r.use() != "2 at 50 already" {
+		t.Errorf("%q, use %q", r.atTarget(), r.use())
+	}
+	if ranked, _ := p.Ranked(); ranked[1].Name() != "agent/quiet/memory" {
+		t.Errorf("%s is second", ranked[1].Name())
+	}
+}
+
+func TestLastPlayOfARunCounts(t *testing.T) {
+	first, again, other, late := someRun(), someRun(), someRun(), someRun()
+	other.Repeat, late.Repeat, late.Invalid = 2, 3, []string{"late"}
+	if got := Counted([]*Run{first, other, again, late}); !slices.Equal(got, []*Run{other, again}) {
+		t.Errorf("%d count", len(got))
+	}
+}
+
+func TestHollowAgainstReal(t *testing.T) {
+	cpu := Figures[slices.IndexFunc(Figures, func(f Figure) bool { return f.Name == "processor" })]
+	run := func(size int, hollow, real float64) *Run {
+		r := someRun()
+		r.Size, r.Hollow = size, size-r.Real
+		r.Roles = map[string]Role{}
+		if hollow >= 0 {
+			r.Roles[RoleHollow] = Role{Count: r.Hollow, Mean: map[string]float64{CPU: hollow}}
+		}
+		if real >= 0 {
+			r.Roles[RoleReal] = Role{Count: r.Real, Mean: map[string]float64{CPU: real}}
+		}
+		return r
+	}
+	for _, c := range []struct {
+		runs      []*Run
+		why, role string
+	}{
+		{nil, "not measured", RoleHollow},
+		{[]*Run{run(50, -1, 1), run(50, -1, 1)}, "real; hollow not measured", RoleReal},
+		{[]*Run{run(50, 1, -1)}, "hollow, not held to real", RoleHollow},
+		{[]*Run{run(50, 1, 1)}, "real; no ratio to hollow", RoleReal},
+		{[]*Run{run(50, 0, 0), run(100, 0, 0)}, "hollow; both 0", RoleHollow},
+		{[]*Run{run(50, 1, 1.1), run(100, 2, 1.9)}, "hollow", RoleHollow},
+		{[]*Run{run(50, 1, 2), run(50, 1, 2.01), run(100, 2, 4)}, "hollow ÷ 0.499", RoleHollow},
+		{[]*Run{run(50, 1, 2), run(50, 1, 2), run(100, 1, 4), run(100, 1, 4)}, "real; hollow not used", RoleReal},
+	} {
+		if s := source(c.runs, cpu); s.Why != c.why || s.Role != c.role {
+			t.Errorf("%q of %s, want %q of %s", s.Why, s.Role, c.why, c.role)
+		}
+	}
+}
+
+// However little a record has, and whatever its figures are, the page has no cell without words.
+func TestPagesOfAnyRuns(t *testing.T) {
+	names := []string{Members, Servers, BytesIn, BytesOut, MessagesIn, MessagesOut, CPU, ResidentMB, HeapMB, ViewBytes, ListBytes}
+	rapid.Check(t, func(t *rapid.T) {
+		var runs []*Run
+		for range rapid.IntRange(0, 30).Draw(t, "runs") {
+			r := someRun()
+			r.Size = rapid.SampledFrom([]int{30, 50, 100, 200, 400, 1500}).Draw(t, "size")
+			r.Hollow = r.Size - r.Real
+			r.Day, r.Repeat = rapid.SampledFrom(Days).Draw(t, "day"), rapid.IntRange(1, 3).Draw(t, "repeat")
+			r.Hurry = rapid.SampledFrom([]float64{1, 200}).Draw(t, "hurry")
+			r.Changes, r.Roles, r.InForce = rapid.IntRange(0, 50).Draw(t, "changes"), map[string]Role{}, map[string]Times{}
+			if rapid.IntRange(0, 5).Draw(t, "valid") == 0 {
+				r.Invalid, r.Seconds = []string{"late | by\na lot"}, 0
+			}
+			for _, role := range roles {
+				mean := map[string]float64{}
+				for _, f := range names {
+					if rapid.IntRange(0, 4).Draw(t, "there") > 0 {
+						mean[f] = rapid.OneOf(rapid.Just(0.0), rapid.Just(3.0), rapid.Float64Range(0, 1e15)).Draw(t, f)
+					}
+				}
+				r.Roles[role] = Role{Count: rapid.IntRange(0, 2).Draw(t, "count"), Mean: mean}
+			}
+			for _, kind := range kinds {
+				r.InForce[kind] = Times{N: int64(rapid.IntRange(0, 3).Draw(t, "n")), P50: 1, P99: 2, Worst: rapid.Float64Range(0, 1e6).Draw(t, "worst"),
+					Absent: int64(rapid.IntRange(0, 1).Draw(t, "absent"))}
+			}
+			if err := r.check(); err != nil {
+				t.Fatal(err)
+			}
+			runs = append(runs, r)
+		}
+		text, _ := tables(t, runs)
+		if f := flawed(text); f != "" {
+			t.Fatal(f)
+		}
+	})
+}
+
+func TestBenchFilesThatAreBroken(t *testing.T) {
+	for text, says := range map[string]string{
+		"BenchmarkPath/servers=10 100 nonsense added-p99-us\n": ":1: ",
+		"goos: linux\n--- FAIL: BenchmarkPath\n":               ":2: a benchmark failed",
+		"FAIL\tsome/package\n":                                 ":1: a benchmark failed",
+		"BenchmarkPath/servers=10 100 NaN added-p99-us\n":      ":1: added-p99-us: NaN",
+	} {
+		path := write(t, "b.txt", text)
+		b, err := ReadBench(path)
+		oneLine(t, err, path+says)
+		if b != nil {
+			t.Errorf("%q: half read", text)
+		}
+	}
+	one, err := ReadBench(write(t, "b.txt", "commit: abc\nBenchmarkDecision/servers=10/state=calm-8 100 2500 ns/op\n"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if e, ok := one.Get("Decision/servers=10/state=calm", "sec/op"); !ok || !e.Single || math.Abs(e.Mean-2.5e-6) > 1e-12 || one.Config["commit"] != "abc" {
+		t.Errorf("%+v, %v, %v", e, ok, one.Config)
+	}
+	if got := slices.Sorted(maps.Keys(one.Servers(benchDecision))); !slices.Equal(got, []int{10}) {
+		t.Errorf("servers %v", got)
+	}
+}
+
+func TestMechanismsThatSayNothing(t *testing.T) {
+	const head = "[[mechanism]]\n"
+	for text, says := range map[string]string{
+		head + "rows = [\"agent/*/bytes\"]\n":                               "by: is empty",
+		head + "by = \"gossip\"\n":                                          "rows: names none",
+		head + "rows = [\"[\"]\nby = \"gossip\"\n":                          "is no pattern",
+		head + "rows = [\"agent/*/bytes\"]\nby = \"a\"\nhow = 1\n":          "mechanism.how",
+		head + "rows = [\"agent/*/bytes\"]\nby = \"a | b\"\n":               "breaks a table",
+		head + "rows = [\"agent/*/bytes\", \"agent/*/byts\"]\nby = \"a\"\n": "names no row",
+		head + "rows = 3\n":                                                 "rows",
+	} {
+		path := write(t, "m.toml", text)
+		m, err := LoadMechanisms(path)
+		if err == nil {
+			target, terr := LoadTarget(targetFile)
+			if terr != nil {
+				t.Fatal(terr)
+			}
+			_, err = NewPage(target, m, nil, nil)
+		}
+		oneLine(t, err, path, says)
+	}
+	if m := (&Mechanisms{}); m.of("agent/quiet/bytes") != none {
+		t.Errorf("a row that nothing names is carried by %q", m.of("agent/quiet/bytes"))
+	}
+}
+
+func TestReplaceTables(t *testing.T) {
+	page := "# Page\n\n" + Begin + "\nold\n" + End + "\nafter\n"
+	got, err := Replace(page, "new\n\n")
+	if want := "# Page\n\n" + Begin + "\nnew\n" + End + "\nafter\n"; err != nil || got != want {
+		t.Errorf("%q, %v", got, err)
+	}
+	for _, wrong := range []string{"", Begin + "\n", End + "\n" + Begin + "\n", page + page, "x" + page[len("# Page\n\n"):]} {
+		if got, err := Replace(wrong, "new"); err == nil {
+			t.Errorf("%q made %q", wrong, got)
+		}
+	}
+}
+
+func TestMadeUpIsMarked(t *testing.T) {
+	for _, r := range madeUp(t) {
+		if r.Plan != "made-up" || r.Commit != "none" {
+			t.Errorf("a run of plan %q, commit %q", r.Plan, r.Commit)
+		}
+	}
+	if text, err := os.ReadFile("testdata/README.md"); err != nil || !strings.Contains(string(text), "nothing here was measured") {
+		t.Errorf("%s, %v", text, err)
+	}
+}
+
+// What is not known of the ratio that hollow figures are divided by is in the interval.
+func TestCorrectedFiguresAreLessSure(t *testing.T) {
+	s := Source{Corrected: true, Ratio: Ratio{Mean: 0.5, In: Interval{0.4, 0.625}}}
+	if v, in := s.widen(10, Interval{10, 10}); v != 10 || math.Abs(in.Lo-8) > 1e-9 || math.Abs(in.Hi-12.5) > 1e-9 {
+		t.Errorf("%v (%v)", v, in)
+	}
+	_, p := tables(t, madeUp(t))
+	r := p.row(t, "agent/rollout/processor")
+	runs, _ := p.played("rollout")
+	if _, plain := r.Fit.At(1500, perAgent(runs)*1500*200); r.In.Lo >= plain.Lo || r.In.Hi <= plain.Hi {
+		t.Errorf("%v, no wider than %v", r.In, plain)
+	}
+}
+
+func TestScaledFromAHurriedDay(t *testing.T) {
+	v, in := calmer(100, Interval{90, 120}, 500, Interval{400, 700}, 4)
+	if want := 100*0.75 + 500*0.25; v != want || math.Abs(in.Lo-(want-math.Hypot(7.5, 25))) > 1e-9 || math.Abs(in.Hi-(want+math.Hypot(15, 50))) > 1e-9 {
+		t.Errorf("%v (%v)", v, in)
+	}
+	if v, in := calmer(100, Interval{90, 120}, 500, Interval{400, 700}, 1); v != 500 || math.Abs(in.Lo-400) > 1e-9 || math.Abs(in.Hi-700) > 1e-9 {
+		t.Errorf("with no hurry: %v (%v)", v, in)
+	}
+}
