--- /dev/null
+++ b/cmd/fernlab/capacity_test.go
@@ -0,0 +1,123 @@
+package main
+
+import (
+	"bytes"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+
+	"clayproxy.example/clayproxy/internal/capacity"
+)
+
+const (
+	pageFile = "docs/CAPACITY.md"
+	madeUp   = "internal/capacity/testdata/made-up.jsonl"
+)
+
+// run is what `fernlab` prints for arguments, from the checkout's root.
+func run(t *testing.T, args ...string) (string, error) {
+	t.Helper()
+	t.Chdir("../..")
+	var out bytes.Buffer
+	cmd := root()
+	cmd.SetOut(&out)
+	cmd.SetArgs(args)
+	err := cmd.Execute()
+	return out.String(), err
+}
+
+// The page's tables are, byte for byte, what the command in the page prints from the committed
+// records; `fernlab capacity RECORD... --page docs/CAPACITY.md` writes them anew.
+func TestPageIsWhatItsCommandPrints(t *testing.T) {
+	page, err := os.ReadFile(filepath.Join("../..", pageFile))
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, rest, found := strings.Cut(string(page), capacity.Begin+"\n")
+	part, _, ended := strings.Cut(rest, capacity.End+"\n")
+	if !found || !ended {
+		t.Fatal("the page has no markers")
+	}
+	command := regexp.MustCompile("^Printed by `fernlab (capacity[^`]*)`").FindStringSubmatch(part)
+	if command == nil {
+		t.Fatal("the page does not say what printed its tables")
+	}
+	got, err := run(t, strings.Fields(command[1])...)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if want := strings.TrimRight(got, "\n") + "\n"; part != want {
+		a, b := strings.Split(part, "\n"), strings.Split(want, "\n")
+		for i := range min(len(a), len(b)) {
+			if a[i] != b[i] {
+				t.Fatalf("the page has drifted from its records: its line %d is\n%s\nand `fernlab %s` prints\n%s", i+1, a[i], command[1], b[i])
+			}
+		}
+		t.Fatalf("the page has drifted from its records: %d lines for %d", len(a), len(b))
+	}
+	// What scale runs were committed has to be on the page.
+	const scale = "docs/capacity/scale.jsonl"
+	if _, err := os.Stat(scale); err == nil && !strings.Contains(command[1], scale) {
+		t.Errorf("the page leaves out %s", scale)
+	}
+}
+
+func TestCapacityRewritesOnlyTheTables(t *testing.T) {
+	page := filepath.Join(t.TempDir(), "PAGE.md")
+	if err := os.WriteFile(page, []byte("before\n\n"+capacity.Begin+"\nold\n"+capacity.End+"\nafter\n"), 0o644); err != nil {
+		t.Fatal(err)
+	}
+	printed, err := run(t, "capacity", madeUp)
+	if err != nil {
+		t.Fatal(err)
+	}
+	cmd := root()
+	var out bytes.Buffer
+	cmd.SetOut(&out)
+	cmd.SetArgs([]string{"capacity", madeUp, "--page", page})
+	if err := cmd.Execute(); err != nil || out.Len() > 0 {
+		t.Fatalf("%v, %q", err, &out)
+	}
+	got, err := os.ReadFile(page)
+	want := "before\n\n" + capacity.Begin + "\n" + strings.TrimRight(printed, "\n") + "\n" + capacity.End + "\nafter\n"
+	if err != nil || string(got) != want {
+		t.Errorf("the page is not the printed tables between its text (%v)", err)
+	}
+	if !strings.HasPrefix(printed, "Printed by `fernlab capacity "+madeUp+"`") {
+		t.Errorf("begins with %.80q", printed)
+	}
+}
+
+// A wrong file is one line that names it, and the page stays as it was.
+func TestCapacityRefusesBadInput(t *testing.T) {
+	dir := t.TempDir()
+	file := func(name, text string) string {
+		path := filepath.Join(dir, name)
+		if err := os.WriteFile(path, []byte(text), 0o644); err != nil {
+			t.Fatal(err)
+		}
+		return path
+	}
+	const tables = capacity.Begin + "\nold\n" + capacity.End + "\n"
+	page := file("PAGE.md", tables)
+	for name, args := range map[string][]string{
+		"none.jsonl": {filepath.Join(dir, "none.jsonl")},
+		"half.jsonl": {file("half.jsonl", `{"plan":"p"}`+"\n")},
+		"t.toml":     {"--target", file("t.toml", "[fleet]\nagents = 3\n")},
+		"b.txt":      {"--bench", file("b.txt", "FAIL\n")},
+		"m.toml":     {"--mechanisms", file("m.toml", "[[mechanism]]\nrows = [\"x\"]\nby = \"y\"\n")},
+		"EMPTY.md":   {"--page", file("EMPTY.md", "no markers\n")},
+	} {
+		t.Run(name, func(t *testing.T) {
+			out, err := run(t, append([]string{"capacity", "--page", page}, args...)...)
+			if err == nil || !strings.Contains(err.Error(), name) || strings.Contains(err.Error(), "\n") || out != "" {
+				t.Errorf("printed %q, error %v", out, err)
+			}
+			if got, err := os.ReadFile(page); err != nil || string(got) != tables {
+				t.Errorf("the page became %q, %v", got, err)
+			}
+		})
+	}
+}
