--- a/internal/capacity/fit.go
+++ b/internal/capacity/fit.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math"
 	"slices"
+	"sync"
 
 	"gonum.org/v1/gonum/floats"
 	"gonum.org/v1/gonum/stat"
@@ -251,7 +252,20 @@
 	return math.Abs(stat.Correlation(l.xs, o.xs, nil)) > alike
 }
 
-func (l line) t() float64 { return distuv.StudentsT{Mu: 0, Sigma: 1, Nu: l.free}.Quantile(0.975) }
+func (l line) t() float64 { return student(l.free) }
+
+// quantiles are those already asked for: gonum searches for each anew.
+var quantiles sync.Map
+
+// student is the 97.5 % quantile of Student's t.
+func student(free float64) float64 {
+	if q, ok := quantiles.Load(free); ok {
+		return q.(float64)
+	}
+	q := distuv.StudentsT{Mu: 0, Sigma: 1, Nu: free}.Quantile(0.975)
+	quantiles.Store(free, q)
+	return q
+}
 
 // apart is the difference of AICc from which two shapes are told apart: that of an interval of 95 %
 // by the profile of the likelihood, with F in place of chi-squared as the points are few. It is 3.84
@@ -259,7 +273,7 @@
 // noise hides held 0.90 (TestSlopesOfKnownLaws, 12 and 6 runs).
 func (l line) apart() float64 {
 	n := float64(len(l.xs))
-	t := distuv.StudentsT{Mu: 0, Sigma: 1, Nu: n - 2}.Quantile(0.975)
+	t := student(n - 2)
 	return n * math.Log1p(t*t/(n-2))
 }
 
--- a/internal/capacity/series.go
+++ b/internal/capacity/series.go
@@ -7,7 +7,6 @@
 	"slices"
 
 	"gonum.org/v1/gonum/stat"
-	"gonum.org/v1/gonum/stat/distuv"
 )
 
 // Figure is a line of the page: what of a role is measured, and what an agent may take of it.
@@ -118,7 +117,7 @@
 	}
 	mean, sd := stat.MeanStdDev(logs, nil)
 	n := float64(len(logs))
-	half := distuv.StudentsT{Mu: 0, Sigma: 1, Nu: n - 1}.Quantile(0.975) * sd / math.Sqrt(n)
+	half := student(n-1) * sd / math.Sqrt(n)
 	least, most := math.Inf(1), math.Inf(-1)
 	for _, ls := range bySize {
 		least, most = math.Min(least, stat.Mean(ls, nil)), math.Max(most, stat.Mean(ls, nil))
