Refute the start's doubt before the list is read, so that no start stays alone

Symptom: with 400 members started 5 ms apart and their seeds alive some see only themselves for ever; each has logged "Refuting a suspect message (from: itself)", and its traffic counters stay at 0. Cause: the doubt that raises a start above earlier processes was handed to memberlist as a packet and announced then. Memberlist only queues it; a reading of the list between the two spends the one announcement and finds the incarnation low. Of the refutation memberlist tells nobody: it calls no delegate, and one that is alone gossips nothing that would be seen to go out. As nothing is sought or heard before the rise (`known`, `awake`), nothing announces the list again. Ruled out: seeds that don't answer (those who have risen find them) and the backoff (heal had not begun). Change: the doubt is given as the answer of a push/pull with nobody, which memberlist merges before Join returns; bind announces the list after that and only then begins to read it. Starting and taking part are parted (newFleet, begin) so that a test can put a transport of its own in between.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -91,6 +91,24 @@
 // process of this machine has the address (the old one, in an upgrade), this one waits
 // until it has ended. The error is for a configuration that can't be used.
 func Start(cfg Config) (*Fleet, error) {
+	f, err := newFleet(cfg)
+	if err != nil {
+		return nil, err
+	}
+	err = f.bind()
+	switch {
+	case errors.Is(err, syscall.EADDRINUSE):
+		f.log.Info("fleet: another process has the address, waiting until it ends", "bind", cfg.Bind)
+		f.spawn(f.standBy)
+	case err != nil:
+		f.cancel()
+		return nil, fmt.Errorf("fleet: %w", err)
+	}
+	return f, nil
+}
+
+// newFleet is a process's part that has not begun, with an identity and no socket.
+func newFleet(cfg Config) (*Fleet, error) {
 	if err := cfg.complete(); err != nil {
 		return nil, err
 	}
@@ -107,15 +125,6 @@
 	f.ctx, f.cancel = context.WithCancel(context.Background())
 	f.table = newTable(&f.cfg, f.process, time.Now())
 	f.view.Store(f.table.view)
-	err := f.bind()
-	switch {
-	case errors.Is(err, syscall.EADDRINUSE):
-		f.log.Info("fleet: another process has the address, waiting until it ends", "bind", cfg.Bind)
-		f.spawn(f.standBy)
-	case err != nil:
-		f.cancel()
-		return nil, fmt.Errorf("fleet: %w", err)
-	}
 	return f, nil
 }
 
@@ -154,20 +163,27 @@
 	if err != nil {
 		return err
 	}
+	if err := f.begin(tr, tr); err != nil {
+		tr.Shutdown()
+		return err
+	}
+	return nil
+}
+
+// begin takes part over a transport; below is what memberlist is given of it, which only a test
+// has as another.
+func (f *Fleet) begin(tr *transport, below memberlist.NodeAwareTransport) error {
 	f.tr = tr
-	list, err := memberlist.Create(f.listConfig(tr))
+	list, err := memberlist.Create(f.listConfig(below))
 	if err != nil {
-		tr.Shutdown()
 		return err
 	}
 	f.list.Store(list)
-	// memberlist counts incarnations from one, and what is still told of an earlier process
-	// of this name would be taken for words about this one. A doubt of itself makes it
-	// refute with a higher one.
 	f.base = startIncarnation(time.Now())
-	f.spawn(func() {
-		tr.inject(encodeMessage(msgSuspect, deadMessage{Incarnation: f.base, Node: f.cfg.Name, From: f.cfg.Name}))
-	})
+	if err := f.exceed(list); err != nil {
+		list.Shutdown()
+		return err
+	}
 	f.tell()
 	f.spawn(f.publish)
 	f.spawn(f.heal)
@@ -176,6 +192,24 @@
 	return nil
 }
 
+// exceed brings this process's incarnation above base, before it returns: memberlist counts from one, and
+// what is still told of an earlier process of this name would be taken for words about this one. A
+// doubt of itself makes it refute with a higher one. The doubt comes as the list of nobody, which is
+// taken over at once; one that came as a packet would only be queued, and no event of memberlist's
+// tells of the refutation of one that is alone.
+func (f *Fleet) exceed(list *memberlist.Memberlist) error {
+	n := list.LocalNode()
+	doubt := encodeMessage(msgPushPull, pushPullHeader{Nodes: 1})
+	doubt = append(doubt, encodeMessage(0, pushNode{Name: n.Name, Addr: n.Addr, Port: n.Port, Meta: n.Meta,
+		Incarnation: f.base, State: memberlist.StateSuspect,
+		Vsn: []uint8{n.PMin, n.PMax, n.PCur, n.DMin, n.DMax, n.DCur}})[1:]...)
+	f.tr.doubt = doubt
+	if _, err := list.Join([]string{doubtPeer + "/" + f.cfg.Advertise}); err != nil {
+		return fmt.Errorf("beginning above earlier processes: %w", err)
+	}
+	return nil
+}
+
 // startIncarnation is where a process that starts now begins to count: quarters of a second
 // since 2026 began, which a uint32 holds for 34 years. The clock is that of one machine,
 // an agent's own, over its restarts; where it went back, what is told of an earlier
@@ -186,10 +220,10 @@
 
 // listConfig is memberlist's configuration: its timings mostly in the proportions that it has
 // by default, with a suspicion that lasts at least SuspectTimeoutMs.
-func (f *Fleet) listConfig(tr *transport) *memberlist.Config {
+func (f *Fleet) listConfig(below memberlist.NodeAwareTransport) *memberlist.Config {
 	c := memberlist.DefaultLANConfig()
 	adv, _ := net.ResolveTCPAddr("tcp", f.cfg.Advertise) // complete has checked it
-	c.Name, c.Label, c.Transport = f.cfg.Name, f.cfg.Site, tr
+	c.Name, c.Label, c.Transport = f.cfg.Name, f.cfg.Site, below
 	c.BindPort, c.AdvertiseAddr, c.AdvertisePort = adv.Port, adv.IP.String(), adv.Port
 	c.CIDRsAllowed = f.cfg.networks()
 	c.EnableCompression = false
--- a/internal/fleet/transport.go
+++ b/internal/fleet/transport.go
@@ -28,9 +28,10 @@
 	streamTime = 3 * time.Second
 	// acceptAgain is how long nothing is accepted after that failed: no descriptor is free.
 	acceptAgain = 50 * time.Millisecond
-	// viewPeer is the name under which memberlist is asked for its own list; no member
-	// may have it.
-	viewPeer = "@view"
+	// viewPeer and doubtPeer are the names under which memberlist is asked for its own list, and given
+	// the list that doubts this process; no member may have them.
+	viewPeer  = "@view"
+	doubtPeer = "@doubt"
 )
 
 // Sockets is how many descriptors a fleet view takes at the most: its two sockets, streams
@@ -74,6 +75,8 @@
 	awake chan struct{}
 	// list is what memberlist last told viewPeer; only the goroutine that asks uses it.
 	list []byte
+	// doubt is the push/pull that doubtPeer answers.
+	doubt []byte
 }
 
 // receiveBuffer is asked of the system for packets, in bytes, so that a process that stood
@@ -315,8 +318,11 @@
 }
 
 func (t *transport) DialAddressTimeout(a memberlist.Address, within time.Duration) (net.Conn, error) {
-	if a.Name == viewPeer {
-		return newRecorder(a.Addr, func(b []byte) { t.list = b })
+	switch a.Name {
+	case viewPeer:
+		return newRecorder(a.Addr, func(b []byte) { t.list = b }, encodeMessage(msgError, errorMessage{"nobody"}))
+	case doubtPeer:
+		return newRecorder(a.Addr, func([]byte) {}, t.doubt)
 	}
 	if err := t.allowed(a.Addr); err != nil {
 		return nil, err
@@ -401,7 +407,7 @@
 }
 
 // recorder is a stream to nobody, on which memberlist tells its own list: the first half
-// of a push/pull. The other half is an answer that there is none.
+// of a push/pull. The other half is an answer that was made before.
 type recorder struct {
 	net.Conn // nil: no method but those below is used
 	addr     net.Addr
@@ -409,12 +415,12 @@
 	answer   *bytes.Reader
 }
 
-func newRecorder(addr string, wrote func([]byte)) (net.Conn, error) {
+func newRecorder(addr string, wrote func([]byte), answer []byte) (net.Conn, error) {
 	a, err := net.ResolveTCPAddr("tcp", addr)
 	if err != nil {
 		return nil, err
 	}
-	return &recorder{addr: a, wrote: wrote, answer: bytes.NewReader(encodeMessage(msgError, errorMessage{"nobody"}))}, nil
+	return &recorder{addr: a, wrote: wrote, answer: bytes.NewReader(answer)}, nil
 }
 
 func (r *recorder) Write(p []byte) (int, error) {
