Count what passes each door of a list instance, and tell it with its status

What a list instance takes at a size can't be seen from outside: /proc counts traffic for a whole network namespace.

--- a/internal/listsvc/http.go
+++ b/internal/listsvc/http.go
@@ -162,12 +162,13 @@
 	Leader  string `json:"leader"`  // id, or empty while none is known
 	Version uint64 `json:"version"` // of the last change applied here
 	Applied uint64 `json:"applied"` // Raft index applied here
+	Usage   Usage  `json:"usage"`
 }
 
 func (n *Node) serveStatus(w http.ResponseWriter, r *http.Request) {
 	_, leader := n.raft.LeaderWithID()
 	writeJSON(w, http.StatusOK, Status{ID: n.cfg.ID, State: n.raft.State().String(),
-		Leader: string(leader), Version: n.list.current(), Applied: n.raft.AppliedIndex()})
+		Leader: string(leader), Version: n.list.current(), Applied: n.raft.AppliedIndex(), Usage: n.usage()})
 }
 
 // check names what makes an entry unfit for the list.
--- a/internal/listsvc/node.go
+++ b/internal/listsvc/node.go
@@ -36,6 +36,8 @@
 	peers  map[raft.ServerID]Peer
 	doors  []*http.Server
 	closed chan struct{}
+
+	reads, admin, raftDoor counters
 }
 
 // Start opens the data directory, joins or founds the cluster, and serves reads on
@@ -65,15 +67,16 @@
 	for _, door := range []struct {
 		addr string
 		h    http.Handler
-	}{{cfg.HTTPAddr, n.readMux()}, {cfg.AdminAddr, n.adminMux()}} {
+		c    *counters
+	}{{cfg.HTTPAddr, n.readMux(), &n.reads}, {cfg.AdminAddr, n.adminMux(), &n.admin}} {
 		ln, err := listen(door.addr)
 		if err != nil {
 			n.Close()
 			return nil, fmt.Errorf("listen %s: %w", door.addr, err)
 		}
-		srv := &http.Server{Handler: door.h, ReadHeaderTimeout: 5 * time.Second}
+		srv := &http.Server{Handler: door.c.calls(door.h), ReadHeaderTimeout: 5 * time.Second}
 		n.doors = append(n.doors, srv)
-		go srv.Serve(ln)
+		go srv.Serve(counted{Listener: ln, c: door.c})
 	}
 	return n, nil
 }
@@ -96,7 +99,7 @@
 		return fmt.Errorf("data_dir: snapshots: %w", err)
 	}
 	trans := raft.NewNetworkTransportWithConfig(&raft.NetworkTransportConfig{
-		ServerAddressProvider: n, Stream: stream{ln}, MaxPool: 3, Timeout: 2 * time.Second,
+		ServerAddressProvider: n, Stream: stream{counted{Listener: ln, c: &n.raftDoor, writes: true}}, MaxPool: 3, Timeout: 2 * time.Second,
 		Logger: rc.Logger})
 	r, err := raft.NewRaft(rc, n.list, store, store, snaps, trans)
 	if err != nil {
@@ -177,10 +180,14 @@
 }
 
 // stream is Raft's stream layer on a listener of ours (raft.StreamLayer).
-type stream struct{ net.Listener }
+type stream struct{ counted }
 
 func (s stream) Dial(addr raft.ServerAddress, timeout time.Duration) (net.Conn, error) {
-	return net.DialTimeout("tcp", string(addr), timeout)
+	conn, err := net.DialTimeout("tcp", string(addr), timeout)
+	if err != nil {
+		return nil, err
+	}
+	return &countedConn{conn, s.c, s.writes}, nil
 }
 
 var _ io.Closer = (*Node)(nil)
