Share the site's settings, a process's usage and TOML errors with what runs beside the lab

A value of a wrong type named neither the line in the form of the others nor its key; the lab's test has that case now. A cluster's processes may have loopback addresses of their own: on 127.0.0.1 a call of another process took the port of one that was down (a start failed with address already in use). go test -race ./internal/lab: ok, 16.9 s.

--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -20,7 +20,7 @@
 )
 
 // Config says what to run. Each process of Names gets a listener for each of Ports on
-// 127.0.0.1 with a port from the system, inherited as file descriptor 3, 4, ... in the
+// loopback with a port from the system, inherited as file descriptor 3, 4, ... in the
 // order of Ports; Args gives its command line once all addresses and links are known.
 type Config struct {
 	Binary string   // path of the built program
@@ -29,6 +29,9 @@
 	Ports  []string // the names of each process's listeners, such as "raft" or "http"
 	// Args is the command line of a process (without the program's path); nil: none.
 	Args func(c *Cluster, name string) []string
+	// IP is the loopback address of a process's listeners; nil: 127.0.0.1. On an address of its own
+	// no call of another process can take a port while the process that has it is down.
+	IP func(name string) string
 	// Env is what a process has in its environment beside the harness's own; nil: nothing.
 	Env func(name string) []string
 }
@@ -58,9 +61,12 @@
 	}
 	c := &Cluster{cfg: cfg, start: time.Now(), procs: map[string]*proc{}, links: map[[2]string]*Link{}}
 	for _, name := range cfg.Names {
-		p := &proc{name: name, addrs: map[string]string{}}
+		p, ip := &proc{name: name, addrs: map[string]string{}}, "127.0.0.1"
+		if cfg.IP != nil {
+			ip = cfg.IP(name)
+		}
 		for _, port := range cfg.Ports {
-			ln, err := net.Listen("tcp", "127.0.0.1:0")
+			ln, err := net.Listen("tcp", net.JoinHostPort(ip, "0"))
 			if err != nil {
 				return nil, err
 			}
--- a/internal/fleetlab/costs.go
+++ b/internal/fleetlab/costs.go
@@ -7,52 +7,31 @@
 	"io"
 	"net"
 	"net/http"
-	"os"
-	"strconv"
-	"strings"
 	"sync"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 	"golang.org/x/sync/errgroup"
+
+	"clayproxy.example/clayproxy/internal/cluster"
 )
 
-// Usage is what one process has taken: processor time since its start, resident memory
-// now, open descriptors, and what its fleet view sent.
+// Usage is what one process has taken, and what its fleet view sent.
 type Usage struct {
-	CPU         time.Duration
-	RSS         int64 // bytes
-	Descriptors int
-	Packets     uint64
-	Bytes       uint64 // in packets and on streams
+	cluster.Usage
+	Packets uint64
+	Bytes   uint64 // in packets and on streams
 }
 
-// usage reads what a running process has taken from /proc (proc(5)) and its door.
+// usage reads what a running process has taken from /proc and its door.
 func (l *Lab) usage(name string) (u Usage, err error) {
-	pid := l.procs.Pid(name)
-	stat, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
-	if err != nil {
+	if u.Usage, err = cluster.ProcessUsage(l.procs.Pid(name)); err != nil {
 		return u, err
 	}
-	// Behind the command, in brackets, utime and stime are the 12th and 13th fields, in
-	// ticks of 10 ms; rss is the 22nd, in pages.
-	fields := strings.Fields(string(stat[strings.LastIndexByte(string(stat), ')')+2:]))
-	if len(fields) < 22 {
-		return u, fmt.Errorf("/proc/%d/stat has %d fields", pid, len(fields))
-	}
-	var n [3]int64
-	for i, at := range []int{11, 12, 21} {
-		if n[i], err = strconv.ParseInt(fields[at], 10, 64); err != nil {
-			return u, err
-		}
-	}
-	u.CPU, u.RSS = time.Duration(n[0]+n[1])*10*time.Millisecond, n[2]*int64(os.Getpagesize())
-	fds, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", pid))
-	u.Descriptors = len(fds)
 	if s, serr := l.Status(name, 1<<62); serr == nil {
 		u.Packets, u.Bytes = s.Traffic["packets_out"], s.Traffic["bytes_out"]+s.Traffic["stream_bytes_out"]
 	}
-	return u, err
+	return u, nil
 }
 
 // Costs measures, over a time in which nothing is done to the fleet, what a member's view
--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -126,6 +126,7 @@
 		"[[trouble]]\nat = \"1s\"\nkind = \"flood\"":                         "s.toml:3: trouble.kind",
 		"[[trouble]]\nkind = \"zone cut\"\nzone = \"z\"":                     "s.toml:3: trouble.zone",
 		"[[arm]]\nname = \"a\"\n[[arm]]\nname = \"a\"":                       "s.toml:2: arm.name",
+		"[fleet]\nagents = \"x\"":                                            "s.toml:2: fleet.agents: ",
 		"[traffic]\nload = 0.5\nuneven = 1.5":                                "s.toml:3: traffic.uneven",
 		"[[arm]]\nname = \"a\"\nflet = true\n[arm.config.limits]\ncores = 1": "s.toml:3: unknown key \"arm.flet\"",
 	} {
--- a/internal/lab/run.go
+++ b/internal/lab/run.go
@@ -387,7 +387,19 @@
 
 // config is an agent's configuration (DEPLOY, "What an agent is told"; WIRE, "Start-up parameters").
 func (r *run) config(i int, a world.Agent, seed uint64) map[string]any {
-	s, ms := r.s, func(d time.Duration) float64 { return float64(d.Microseconds()) / 1000 }
+	return map[string]any{"name": a.Name, "listen": r.w.Address(i, world.ListenPort), "management": r.w.Address(i, world.ManagementPort),
+		"discovery": r.w.Address(i, world.DiscoveryPort), "seed": strconv.FormatUint(seed*1000+uint64(i), 16),
+		"limits": r.s.Limits(), "known": r.w.Known(a.Name), "settings": r.s.Settings(i, a.Zone, len(r.wcfg.Agents))}
+}
+
+// Limits are what an agent may take, as its configuration tells it.
+func (s *Scenario) Limits() map[string]any {
+	return map[string]any{"cores": s.Fleet.Cores, "memory_mb": s.Fleet.MemoryMB, "sockets": s.Fleet.Sockets}
+}
+
+// Settings are those of the deployment for the index-th of so many agents, in a zone by its index.
+func (s *Scenario) Settings(index, zone, agents int) map[string]any {
+	ms := func(d time.Duration) float64 { return float64(d.Microseconds()) / 1000 }
 	var classes, shapes []any
 	for _, k := range s.Classes {
 		group, key := k.Group, ms(k.KeyFor)
@@ -402,18 +414,15 @@
 		shapes = append(shapes, m.Kind)
 		warm = warm || m.KeyGain > 0
 	}
-	return map[string]any{"name": a.Name, "listen": r.w.Address(i, world.ListenPort), "management": r.w.Address(i, world.ManagementPort),
-		"discovery": r.w.Address(i, world.DiscoveryPort), "seed": strconv.FormatUint(seed*1000+uint64(i), 16),
-		"limits": map[string]any{"cores": s.Fleet.Cores, "memory_mb": s.Fleet.MemoryMB, "sockets": s.Fleet.Sockets}, "known": r.w.Known(a.Name),
-		"settings": map[string]any{"classes": classes, "clients": map[string]any{"marksRetry": true},
-			"contract": map[string]any{"answerSlackMs": 20, "askWithinMs": 10000, "coldFrom": s.Rules.ColdFrom, "coldMs": ms(s.Rules.ColdFor),
-				"drainGraceMs": ms(s.Rules.DrainGrace), "fallMultiple": s.Rules.FallMultiple, "tipAfterMs": ms(s.Rules.FallIn)},
-			"failureDomains": s.Fleet.Zones, "family": "mesh", "familyInfo": map[string]any{"warmKeys": warm}, "index": i,
-			"limits": map[string]any{"cancelling": true, "connectTimeoutMs": 250, "keepaliveMs": ms(r.wcfg.KeepAlive), "maxAttempts": 5,
-				"maxRetryAfterMs": 1500, "openCap": 20000, "parallelTries": false, "probing": true, "retryAfter": false},
-			"membershipMode": "pushed", "objectiveMix": map[string]any{"whole": 0.6, "worstClass": 0.35, "worstWindow": 0.05},
-			"prices":       map[string]any{"crossZone": 0.03, "lateFail": 0.05, "probe": 0.0082, "waste": 0.032},
-			"replicasOfMe": len(r.wcfg.Agents), "roundMs": 5, "shapes": shapes, "weights": "nominal", "worthBy": "work", "zone": a.Zone}}
+	return map[string]any{"classes": classes, "clients": map[string]any{"marksRetry": true},
+		"contract": map[string]any{"answerSlackMs": 20, "askWithinMs": 10000, "coldFrom": s.Rules.ColdFrom, "coldMs": ms(s.Rules.ColdFor),
+			"drainGraceMs": ms(s.Rules.DrainGrace), "fallMultiple": s.Rules.FallMultiple, "tipAfterMs": ms(s.Rules.FallIn)},
+		"failureDomains": s.Fleet.Zones, "family": "mesh", "familyInfo": map[string]any{"warmKeys": warm}, "index": index,
+		"limits": map[string]any{"cancelling": true, "connectTimeoutMs": 250, "keepaliveMs": ms(keepAlive), "maxAttempts": 5,
+			"maxRetryAfterMs": 1500, "openCap": 20000, "parallelTries": false, "probing": true, "retryAfter": false},
+		"membershipMode": "pushed", "objectiveMix": map[string]any{"whole": 0.6, "worstClass": 0.35, "worstWindow": 0.05},
+		"prices":       map[string]any{"crossZone": 0.03, "lateFail": 0.05, "probe": 0.0082, "waste": 0.032},
+		"replicasOfMe": agents, "roundMs": 5, "shapes": shapes, "weights": "nominal", "worthBy": "work", "zone": zone}
 }
 
 // start starts an agent and waits until it is ready.
--- a/internal/lab/scenario.go
+++ b/internal/lab/scenario.go
@@ -112,6 +112,26 @@
 	}
 }
 
+// keepAlive is how long servers keep a connection that idles.
+const keepAlive = time.Minute
+
+// Site is Default with the classes and the models of the site.
+func Site() *Scenario {
+	s := Default()
+	s.complete()
+	return s
+}
+
+// complete gives a scenario that names no classes or no models those of the site.
+func (s *Scenario) complete() {
+	if len(s.Classes) == 0 {
+		s.Classes = siteClasses()
+	}
+	if len(s.Models) == 0 {
+		s.Models = siteModels()
+	}
+}
+
 func siteClasses() []world.Class {
 	return []world.Class{
 		{Name: "cierre-valor", Share: 0.63, Work: 58 * time.Millisecond, WorkCV: 0.55, Wait: 120 * time.Millisecond, Aim: 750 * time.Millisecond,
@@ -144,30 +164,39 @@
 func Parse(path, text string) (*Scenario, error) {
 	s := Default()
 	md, err := toml.Decode(text, s)
-	if perr := (toml.ParseError{}); errors.As(err, &perr) {
-		return nil, fmt.Errorf("%s:%d: %s", path, perr.Position.Line, perr.Message)
-	} else if err != nil {
-		return nil, fmt.Errorf("%s: %w", path, err)
+	if err != nil {
+		return nil, TOMLError(path, err)
 	}
 	for _, key := range md.Undecoded() {
 		if !strings.Contains(key.String(), "config.") { // an arm's overlay may have any
-			return nil, fmt.Errorf("%s:%d: unknown key %q", path, lineOf(text, key), key)
+			return nil, fmt.Errorf("%s:%d: unknown key %q", path, LineOf(text, key), key)
 		}
 	}
-	if len(s.Classes) == 0 {
-		s.Classes = siteClasses()
-	}
-	if len(s.Models) == 0 {
-		s.Models = siteModels()
-	}
+	s.complete()
 	if key, err := s.check(); err != nil {
-		return nil, fmt.Errorf("%s:%d: %s: %w", path, lineOf(text, strings.Split(key, ".")), key, err)
+		return nil, fmt.Errorf("%s:%d: %s: %w", path, LineOf(text, strings.Split(key, ".")), key, err)
 	}
 	return s, nil
 }
 
-// lineOf is the line of a text in which a key's last part is set, or its table's, or the first.
-func lineOf(text string, key []string) int {
+// badType is how a value of a wrong type is told by the library, which has no type for that.
+var badType = regexp.MustCompile(`^toml: line (\d+) \(last key "(.*?)"\): `)
+
+// TOMLError names the file and the line, and the key where a value is of a wrong type, of an
+// error of toml.Decode.
+func TOMLError(path string, err error) error {
+	if perr := (toml.ParseError{}); errors.As(err, &perr) {
+		return fmt.Errorf("%s:%d: %s", path, perr.Position.Line, perr.Message)
+	}
+	text := err.Error()
+	if m := badType.FindStringSubmatch(text); m != nil {
+		return fmt.Errorf("%s:%s: %s: %s", path, m[1], m[2], text[len(m[0]):])
+	}
+	return fmt.Errorf("%s: %w", path, err)
+}
+
+// LineOf is the line of a text in which a key's last part is set, or its table's, or the first.
+func LineOf(text string, key []string) int {
 	for i := len(key) - 1; i >= 0; i-- {
 		set := regexp.MustCompile(`^\s*(` + regexp.QuoteMeta(key[i]) + `\s*=|\[+[^]]*\b` + regexp.QuoteMeta(key[i]) + `\]+)`)
 		for n, line := range strings.Split(text, "\n") {
@@ -254,7 +283,7 @@
 		Contract: world.Contract{DrainGrace: s.Rules.DrainGrace, ColdFrom: s.Rules.ColdFrom, ColdFor: s.Rules.ColdFor,
 			FallMultiple: s.Rules.FallMultiple, FallIn: s.Rules.FallIn, Slack: 50 * time.Millisecond},
 		Rate: s.rate(), Keys: s.Traffic.Keys, Zipf: s.Traffic.Zipf, Retries: s.Traffic.Retries, TryShare: s.Traffic.TryShare,
-		RetryWait: s.Traffic.RetryWait, ListDelay: s.Fleet.ListDelay, KeepAlive: time.Minute}
+		RetryWait: s.Traffic.RetryWait, ListDelay: s.Fleet.ListDelay, KeepAlive: keepAlive}
 	shares, sum := make([]float64, s.Fleet.Agents), 0.0
 	for i := range shares {
 		// Spread evenly between the least and the most, in an order that mixes the zones.
