--- a/cmd/fernlab/main.go
+++ b/cmd/fernlab/main.go
@@ -30,7 +30,7 @@
 
 func root() *cobra.Command {
 	cmd := &cobra.Command{Use: "fernlab", Short: "fleets of the real agent in an emulated world", SilenceUsage: true, SilenceErrors: true}
-	cmd.AddCommand(runCmd(), reportCmd(), compareCmd(), drawCmd(), trustCmd())
+	cmd.AddCommand(runCmd(), reportCmd(), compareCmd(), drawCmd(), trustCmd(), scaleCmd())
 	return cmd
 }
 
--- /dev/null
+++ b/internal/scale/fits.go
@@ -0,0 +1,76 @@
+package scale
+
+import (
+	"fmt"
+	"os"
+	"strings"
+	"syscall"
+
+	"clayproxy.example/clayproxy/internal/cluster"
+)
+
+// What one of each takes: see docs/capacity/README.md, from the records of scale runs there.
+const (
+	hollowMB       = 2.0   // a hollow agent, resident, with a small fleet
+	hollowMemberMB = 0.004 // and for each member of its fleet
+	realMB         = 16.0  // a real agent, resident
+	realMemberMB   = 0.01
+	listMB         = 60.0 // an instance of the list service
+	hostMB         = 30.0 // a host process without agents
+	// hollowSockets are the descriptors of a hollow agent, hostSockets those of its process.
+	hollowSockets, hostSockets = 40, 32
+	// mostProcesses is what this project allows itself on a machine.
+	mostProcesses = 300
+)
+
+// Fits refuses a plan of which this machine can't hold a size: within half of its memory, what is
+// free of it, 300 processes and the descriptors of a process.
+func (p *Plan) Fits() error {
+	total, err := totalMB()
+	if err != nil {
+		return err
+	}
+	var lim syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &lim); err != nil {
+		return err
+	}
+	for _, hollow := range p.Sizes {
+		if err := p.fits(hollow, total/2, cluster.FreeMB(), lim.Cur); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (p *Plan) fits(hollow, halfMB, freeMB int, files uint64) error {
+	n := float64(hollow + p.Real)
+	hosts := (hollow + p.AgentsAHost - 1) / p.AgentsAHost
+	mb := int(float64(hollow)*(hollowMB+hollowMemberMB*n) + float64(p.Real)*(realMB+realMemberMB*n) + float64(p.Lists)*listMB + float64(hosts)*hostMB)
+	processes := hosts + p.Real + p.Lists + 1
+	sockets := uint64(min(p.AgentsAHost, hollow)*hollowSockets + hostSockets)
+	what := fmt.Sprintf("sizes: %d hollow agents in %d processes, %d real ones and %d instances of the list service", hollow, hosts, p.Real, p.Lists)
+	switch {
+	case processes > mostProcesses:
+		return fmt.Errorf("%s are %d processes with the runner, and %d are allowed", what, processes, mostProcesses)
+	case mb > halfMB:
+		return fmt.Errorf("%s take some %d MB, and half of this machine's memory is %d MB", what, mb, halfMB)
+	case mb > freeMB:
+		return fmt.Errorf("%s take some %d MB, and %d MB are free", what, mb, freeMB)
+	case sockets > files:
+		return fmt.Errorf("%s take some %d descriptors a process, and %d are allowed", what, sockets, files)
+	}
+	return nil
+}
+
+// totalMB is this machine's memory in MB (proc(5), meminfo).
+func totalMB() (int, error) {
+	text, err := os.ReadFile("/proc/meminfo")
+	if err != nil {
+		return 0, err
+	}
+	kb := 0
+	for line := range strings.Lines(string(text)) {
+		fmt.Sscanf(line, "MemTotal: %d kB", &kb)
+	}
+	return kb >> 10, nil
+}
--- /dev/null
+++ b/internal/scale/force.go
@@ -0,0 +1,185 @@
+package scale
+
+import (
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"clayproxy.example/clayproxy/internal/capacity"
+)
+
+// allowed is how long a change may take to be in force at an agent before it counts as absent there.
+const allowed = 20 * time.Second
+
+// tracker holds what was acknowledged and what came into force where. A version may be passed
+// over: a change is in force at an agent once that has the change's version or a later one.
+type tracker struct {
+	mu      sync.Mutex
+	changes []change
+	lives   []*life
+	now     map[string]*life  // the lives that go on
+	early   map[string]forced // the last word of agents of which it is not known yet that they run
+}
+
+// change is one that was acknowledged.
+type change struct {
+	version uint64
+	acked   time.Time
+}
+
+// life is one start of an agent up to its end.
+type life struct {
+	agent      string
+	start, end time.Time // end is zero while it goes on
+	forced     []forced  // in their order
+	// blind tells that some of its tellings were left out: that a change is not among them says nothing.
+	blind bool
+}
+
+type forced struct {
+	version uint64
+	at      time.Time
+}
+
+func newTracker() *tracker { return &tracker{now: map[string]*life{}, early: map[string]forced{}} }
+
+// begin notes that an agent runs.
+func (t *tracker) begin(agent string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	l := &life{agent: agent, start: time.Now()}
+	if f, ok := t.early[agent]; ok {
+		l.forced = []forced{f}
+		delete(t.early, agent)
+	}
+	t.now[agent] = l
+	t.lives = append(t.lives, l)
+}
+
+// end notes that an agent ends, and counts from now on no more.
+func (t *tracker) end(agent string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if l := t.now[agent]; l != nil {
+		l.end = time.Now()
+		delete(t.now, agent)
+	}
+}
+
+// gone notes that an agent has ended, and that all it said is told.
+func (t *tracker) gone(agent string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	delete(t.early, agent)
+}
+
+// force notes that a version is in force at an agent.
+func (t *tracker) force(agent string, version uint64, at time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	l := t.now[agent]
+	if l == nil {
+		t.early[agent] = forced{version, at}
+		return
+	}
+	if len(l.forced) > 0 && version <= l.forced[len(l.forced)-1].version {
+		return
+	}
+	l.forced = append(l.forced, forced{version, at})
+}
+
+// blinded notes that an agent left some of its tellings out.
+func (t *tracker) blinded(agent string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if l := t.now[agent]; l != nil {
+		l.blind = true
+	}
+}
+
+// changed notes an acknowledged change.
+func (t *tracker) changed(version uint64, acked time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.changes = append(t.changes, change{version, acked})
+}
+
+// count is how many changes were acknowledged.
+func (t *tracker) count() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.changes)
+}
+
+// last is the newest acknowledged version.
+func (t *tracker) last() (v uint64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, c := range t.changes {
+		v = max(v, c.version)
+	}
+	return v
+}
+
+// day forgets all but the agents that run and what is in force at them.
+func (t *tracker) day() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.changes, t.lives = nil, nil
+	for _, l := range t.now {
+		l.forced = l.forced[max(0, len(l.forced)-1):]
+		l.blind = false
+		t.lives = append(t.lives, l)
+	}
+}
+
+// times are the times from each change's acknowledgement until it was in force, over all agents
+// that were there then, or one of those and gone before its time was up; missing is how many pairs
+// of change and agent can't be told, as the agent left lines out.
+func (t *tracker) times() (out capacity.Times, missing int, err error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	h := hdrhistogram.New(1, allowed.Microseconds(), 3)
+	now := time.Now()
+	for _, l := range t.lives {
+		for _, c := range t.changes {
+			if l.start.After(c.acked) || !l.end.IsZero() && l.end.Before(c.acked) {
+				continue
+			}
+			at, ok := l.reached(c.version)
+			took := max(0, at.Sub(c.acked))
+			switch {
+			case l.blind:
+				missing++
+			case ok && took <= allowed:
+				if err := h.RecordValue(max(1, took.Microseconds())); err != nil {
+					return out, missing, fmt.Errorf("in force after %v: %w", took, err)
+				}
+			case !l.end.IsZero() && l.end.Sub(c.acked) < allowed || now.Sub(c.acked) < allowed:
+				// It was gone, or the run is over, before the time was up.
+			default:
+				out.Absent++
+			}
+		}
+	}
+	out.N = h.TotalCount()
+	if out.N == 0 {
+		return out, missing, nil
+	}
+	out.P50, out.P99, out.Worst = float64(h.ValueAtQuantile(50))/1000, float64(h.ValueAtQuantile(99))/1000, float64(h.Max())/1000
+	text, err := h.Encode(hdrhistogram.V2CompressedEncodingCookieBase)
+	out.Histogram = string(text)
+	return out, missing, err
+}
+
+// reached is when a version or a later one came into force.
+func (l *life) reached(version uint64) (time.Time, bool) {
+	for _, f := range l.forced {
+		if f.version >= version {
+			return f.at, true
+		}
+	}
+	return time.Time{}, false
+}
--- /dev/null
+++ b/internal/scale/hosts.go
@@ -0,0 +1,201 @@
+package scale
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// host is one process of hollow agents, as the runner holds it.
+type host struct {
+	name string
+	cmd  *exec.Cmd
+	done chan struct{} // closed at its end
+	// heard is told what the host says of its agents.
+	heard *tracker
+
+	mu      sync.Mutex
+	in      io.WriteCloser
+	waits   map[string]chan error // by what is waited for, such as "started a017"
+	reports chan *Report
+	failed  error // what the host said was wrong, or how its words ended
+}
+
+// The longest times that a host may take: to start or end an agent, and to report on all. The
+// machine is full, and an end in order takes its 3 s (agent.Run).
+const (
+	agentTime  = 30 * time.Second
+	reportTime = 30 * time.Second
+	// endTime is how long a host may take to end once its orders have.
+	endTime = 3 * time.Second
+)
+
+// startHost starts a host process by its command line, with its log in a directory.
+func startHost(command []string, name, dir string, heard *tracker) (*host, error) {
+	log, err := os.Create(filepath.Join(dir, name+".log"))
+	if err != nil {
+		return nil, err
+	}
+	defer log.Close()
+	h := &host{name: name, done: make(chan struct{}), heard: heard, waits: map[string]chan error{}, reports: make(chan *Report, 1)}
+	h.cmd = exec.Command(command[0], command[1:]...)
+	h.cmd.Stderr = log
+	// However the runner ends, no host stays: at its end their orders end, and the kernel kills them.
+	h.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if h.in, err = h.cmd.StdinPipe(); err != nil {
+		return nil, err
+	}
+	out, err := h.cmd.StdoutPipe()
+	if err != nil {
+		return nil, err
+	}
+	if err := h.cmd.Start(); err != nil {
+		return nil, fmt.Errorf("%s: %w", name, err)
+	}
+	go func() {
+		h.listen(out)
+		h.cmd.Wait()
+		close(h.done)
+	}()
+	return h, nil
+}
+
+// listen takes the host's words until they end, and then ends all that waits for more.
+func (h *host) listen(out io.Reader) {
+	words := json.NewDecoder(out)
+	for {
+		var t Telling
+		if err := words.Decode(&t); err != nil {
+			h.fail(fmt.Errorf("%s says no more: %w", h.name, err))
+			return
+		}
+		h.take(&t)
+	}
+}
+
+func (h *host) take(t *Telling) {
+	var err error
+	if t.Err != "" {
+		err = fmt.Errorf("%s: %s", h.name, t.Err)
+	}
+	switch {
+	case t.Started != "":
+		h.heard.begin(t.Started)
+		h.resolve("started "+t.Started, nil)
+	case t.Ended != "":
+		h.heard.gone(t.Ended)
+		if !h.resolve("ended "+t.Ended, err) { // nobody ended it: it could not start
+			h.resolve("started "+t.Ended, errors.Join(err, fmt.Errorf("%s: %s has ended", h.name, t.Ended)))
+		}
+	case t.Force != nil:
+		if t.Force.Kind == "list" {
+			h.heard.force(t.Force.Agent, t.Force.Version, time.UnixMicro(t.Force.AtUs))
+		}
+	case t.Report != nil:
+		select {
+		case h.reports <- t.Report:
+		default: // nobody waited for it any more
+		}
+	case err != nil:
+		h.fail(err)
+	}
+}
+
+// fail ends all that waits.
+func (h *host) fail(err error) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.failed == nil {
+		h.failed = err
+	}
+	for what, wait := range h.waits {
+		wait <- err
+		delete(h.waits, what)
+	}
+}
+
+// resolve ends a wait and tells whether there was one.
+func (h *host) resolve(what string, err error) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	wait := h.waits[what]
+	if wait == nil {
+		return false
+	}
+	wait <- err
+	delete(h.waits, what)
+	return true
+}
+
+// do gives an order and waits until the host has said what is waited for.
+func (h *host) do(ctx context.Context, o Order, until string) error {
+	wait := make(chan error, 1)
+	h.mu.Lock()
+	h.waits[until] = wait
+	h.mu.Unlock()
+	if err := h.order(o); err != nil {
+		return err
+	}
+	select {
+	case err := <-wait:
+		return err
+	case <-time.After(agentTime):
+		return fmt.Errorf("%s: %q not within %v", h.name, until, agentTime)
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func (h *host) order(o Order) error {
+	text, err := json.Marshal(o)
+	if err != nil {
+		return err
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.failed != nil {
+		return h.failed
+	}
+	_, err = h.in.Write(append(text, '\n'))
+	return err
+}
+
+// report asks for what the host has taken.
+func (h *host) report(ctx context.Context) (*Report, error) {
+	select {
+	case <-h.reports: // one that came too late
+	default:
+	}
+	if err := h.order(Order{Do: "report"}); err != nil {
+		return nil, err
+	}
+	select {
+	case r := <-h.reports:
+		return r, nil
+	case <-h.done:
+		return nil, fmt.Errorf("%s has ended", h.name)
+	case <-time.After(reportTime):
+		return nil, fmt.Errorf("%s: no report within %v", h.name, reportTime)
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+// close ends the host and all its agents.
+func (h *host) close() {
+	h.in.Close()
+	select {
+	case <-h.done:
+	case <-time.After(endTime):
+		h.cmd.Process.Kill()
+		<-h.done
+	}
+}
--- /dev/null
+++ b/internal/scale/measure.go
@@ -0,0 +1,350 @@
+package scale
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"maps"
+	"os"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"golang.org/x/sync/errgroup"
+
+	"clayproxy.example/clayproxy/internal/capacity"
+	"clayproxy.example/clayproxy/internal/cluster"
+)
+
+// figures are by the names of package capacity.
+type figures map[string]float64
+
+// reading is what a process or an agent had taken at a time: counters since its first start, from
+// which rates are made, and what it has now.
+type reading struct {
+	at            time.Time
+	counted, held figures
+}
+
+// meter carries the counters of a process that ended on to the next one of its name.
+type meter struct {
+	mu      sync.Mutex
+	carried figures
+}
+
+// add carries what a process had counted when it was ended.
+func (m *meter) add(counted figures) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	sum := maps.Clone(m.carried)
+	if sum == nil {
+		sum = figures{}
+	}
+	for k, v := range counted {
+		sum[k] += v
+	}
+	m.carried = sum
+}
+
+// sum is what the process and those before it counted.
+func (m *meter) sum(counted figures) figures {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	sum := maps.Clone(counted)
+	for k, v := range m.carried {
+		sum[k] += v
+	}
+	return sum
+}
+
+// sample is a reading of all that runs.
+type sample struct {
+	hosts, hollow, real, lists map[string]reading
+	agents                     map[string]int // hollow agents in each host
+}
+
+// sample reads all that runs, at once.
+func (f *running) sample(ctx context.Context) (*sample, error) {
+	s := &sample{hosts: map[string]reading{}, hollow: map[string]reading{}, real: map[string]reading{}, lists: map[string]reading{}, agents: map[string]int{}}
+	var mu sync.Mutex
+	group, ctx := errgroup.WithContext(ctx)
+	for _, h := range f.hosts {
+		group.Go(func() error {
+			r, err := h.report(ctx)
+			if err != nil {
+				return err
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			s.takeReport(h.name, r)
+			return nil
+		})
+	}
+	for _, m := range f.which(true) {
+		if m.host != nil {
+			continue
+		}
+		group.Go(func() error {
+			r, err := f.readReal(ctx, m)
+			if err != nil {
+				return nil // it has no part in the figures
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			s.real[m.name] = r
+			return nil
+		})
+	}
+	for _, n := range f.lists.Names() {
+		if !f.lists.Running(n) {
+			continue
+		}
+		group.Go(func() error {
+			r, err := f.readList(n)
+			if err != nil {
+				return nil
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			s.lists[n] = r
+			return nil
+		})
+	}
+	return s, group.Wait()
+}
+
+// takeReport takes what a host and its agents had taken.
+func (s *sample) takeReport(host string, r *Report) {
+	at := time.UnixMicro(r.AtUs)
+	s.hosts[host] = reading{at,
+		figures{capacity.CPU: r.CPUSeconds, capacity.AllocKBps: float64(r.AllocBytes) / 1024},
+		figures{capacity.ResidentMB: r.ResidentMB, capacity.HeapMB: r.HeapMB, capacity.Goroutines: float64(r.Goroutines), capacity.Descriptors: float64(r.Descriptors)}}
+	s.agents[host] = len(r.Agents)
+	for name, a := range r.Agents {
+		s.hollow[name] = reading{at, figures{
+			capacity.BytesIn: float64(a.ViewIn + a.ListIn), capacity.BytesOut: float64(a.ViewOut + a.ListOut),
+			// Each call to discovery is a message out, and its answer one in.
+			capacity.MessagesIn: float64(a.ViewMsgIn + a.ListCalls), capacity.MessagesOut: float64(a.ViewMsgOut + a.ListCalls),
+			capacity.ViewBytes: float64(a.ViewIn + a.ViewOut), capacity.ListBytes: float64(a.ListIn + a.ListOut),
+		}, figures{capacity.Members: float64(a.Members), capacity.Servers: float64(a.Servers)}}
+	}
+}
+
+const mb = 1 << 20
+
+// readReal reads what a real agent has taken, its ended processes with it.
+func (f *running) readReal(ctx context.Context, m *member) (reading, error) {
+	counted, held, err := f.realNow(ctx, m)
+	return reading{time.Now(), f.meters[m.name].sum(counted), held}, err
+}
+
+// realNow reads what a real agent's present process has taken: from /proc, its door and its log.
+func (f *running) realNow(ctx context.Context, m *member) (counted, held figures, err error) {
+	u, err := cluster.ProcessUsage(f.reals.Pid(m.name))
+	if err != nil {
+		return nil, nil, err
+	}
+	st, err := f.reals.status(ctx, m.at(operatorPort))
+	if err != nil {
+		return nil, nil, err
+	}
+	if err := f.reals.read(m.name); err != nil {
+		return nil, nil, err
+	}
+	_, servers := f.reals.knows(m.name)
+	t := st.Traffic
+	in, out := float64(t["bytes_in"]+t["stream_bytes_in"]), float64(t["bytes_out"]+t["stream_bytes_out"])
+	counted = figures{capacity.CPU: u.CPU.Seconds(), capacity.ViewBytes: in + out}
+	held = figures{capacity.ResidentMB: float64(u.RSS) / mb, capacity.Descriptors: float64(u.Descriptors),
+		capacity.Members: float64(st.Present), capacity.Servers: float64(servers)}
+	return counted, held, nil
+}
+
+// endsReal carries on what a real agent has counted, which is about to be ended.
+func (f *running) endsReal(ctx context.Context, m *member) error {
+	counted, _, err := f.realNow(ctx, m)
+	if err != nil {
+		return fmt.Errorf("%s, before its end: %w", m.name, err)
+	}
+	f.meters[m.name].add(counted)
+	return nil
+}
+
+// readList reads what an instance of the list service has taken, its ended processes with it.
+func (f *running) readList(name string) (reading, error) {
+	counted, held, err := f.listNow(name)
+	return reading{time.Now(), f.meters[name].sum(counted), held}, err
+}
+
+// listNow reads what an instance's present process has taken. Its admin door is left out: what
+// this runner asks there is no part of the service's day.
+func (f *running) listNow(name string) (counted, held figures, err error) {
+	u, err := cluster.ProcessUsage(f.lists.Pid(name))
+	if err != nil {
+		return nil, nil, err
+	}
+	st, err := f.lists.status(name)
+	if err != nil {
+		return nil, nil, err
+	}
+	reads, raft := st.Usage.Reads, st.Usage.Raft
+	// A call is a message in and one out. Of Raft's the writes are counted, which are its calls and
+	// its answers to others' calls: as many come in, as each call has one answer.
+	messages := float64(reads.Messages + raft.Messages)
+	return figures{capacity.CPU: u.CPU.Seconds(), capacity.AllocKBps: float64(st.Usage.AllocBytes) / 1024,
+			capacity.BytesIn: float64(reads.In + raft.In), capacity.BytesOut: float64(reads.Out + raft.Out),
+			capacity.MessagesIn: messages, capacity.MessagesOut: messages, capacity.ListBytes: float64(reads.In + reads.Out)},
+		figures{capacity.ResidentMB: float64(u.RSS) / mb, capacity.HeapMB: float64(st.Usage.HeapBytes) / mb, capacity.Descriptors: float64(u.Descriptors),
+			capacity.Goroutines: float64(st.Usage.Goroutines)}, nil
+}
+
+// over is what a reading's holder took from another reading on: rates, and what it has at the end.
+func (r reading) over(before reading) figures {
+	out := maps.Clone(r.held)
+	seconds := r.at.Sub(before.at).Seconds()
+	for k, v := range r.counted {
+		out[k] = (v - before.counted[k]) / seconds
+	}
+	return out
+}
+
+// roles are the figures of all roles between two samples.
+func (f *running) roles(before, after *sample) map[string]capacity.Role {
+	members := map[string][]figures{}
+	shares := map[string]figures{} // of each host's process, for one of its agents
+	for name, r := range after.hosts {
+		share := r.over(before.hosts[name])
+		for k := range share {
+			share[k] /= float64(max(1, after.agents[name]))
+		}
+		shares[name] = share
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, m := range f.members {
+		from, role, r := before.real[m.name], capacity.RoleReal, after.real[m.name]
+		if m.host != nil {
+			from, role, r = before.hollow[m.name], capacity.RoleHollow, after.hollow[m.name]
+			if m.started.After(from.at) {
+				from = reading{at: m.started} // it counts anew
+			}
+		}
+		if !m.up || r.at.IsZero() || from.at.IsZero() {
+			continue
+		}
+		one := r.over(from)
+		if m.host != nil {
+			maps.Copy(one, shares[m.host.name])
+		}
+		members[role] = append(members[role], one)
+	}
+	leader := f.lists.leader()
+	for name, r := range after.lists {
+		role := capacity.RoleFollower
+		if name == leader {
+			role = capacity.RoleLeader
+		}
+		if from, ok := before.lists[name]; ok {
+			members[role] = append(members[role], r.over(from))
+		}
+	}
+	out := map[string]capacity.Role{}
+	for role, all := range members {
+		out[role] = summed(all)
+	}
+	return out
+}
+
+// summed is the mean and the most of each figure over the members of a role.
+func summed(all []figures) capacity.Role {
+	r := capacity.Role{Count: len(all), Mean: map[string]float64{}, Most: map[string]float64{}}
+	for i, one := range all {
+		for k, v := range one {
+			r.Mean[k] += v / float64(len(all))
+			if most, ok := r.Most[k]; i == 0 || !ok || v > most {
+				r.Most[k] = v
+			}
+		}
+	}
+	return r
+}
+
+// watch tells whether this machine kept up: its idle processor time, and how late this process's
+// own timers were.
+type watch struct {
+	idle, all float64 // at the start
+	late      *hdrhistogram.Histogram
+	stop      chan struct{}
+	stopped   chan struct{}
+}
+
+// The bounds of a run that counts: the machine's idle share, and the lateness of timers at p99.
+const (
+	leastIdle  = 0.10
+	mostLate   = 20 * time.Millisecond
+	watchEvery = 10 * time.Millisecond
+)
+
+func startWatch() (*watch, error) {
+	w := &watch{late: hdrhistogram.New(1, 60_000_000, 3), stop: make(chan struct{}), stopped: make(chan struct{})}
+	var err error
+	if w.idle, w.all, err = processorTime(); err != nil {
+		return nil, err
+	}
+	go func() {
+		defer close(w.stopped)
+		for {
+			due := time.Now().Add(watchEvery)
+			select {
+			case <-time.After(watchEvery):
+				w.late.RecordValue(min(60_000_000, max(1, time.Since(due).Microseconds())))
+			case <-w.stop:
+				return
+			}
+		}
+	}()
+	return w, nil
+}
+
+// end says why what was watched does not count, if it does not.
+func (w *watch) end() (faults []string, err error) {
+	close(w.stop)
+	<-w.stopped
+	idle, all, err := processorTime()
+	if err != nil {
+		return nil, err
+	}
+	if share := (idle - w.idle) / (all - w.all); share < leastIdle {
+		faults = append(faults, fmt.Sprintf("the machine was idle for %.1f %% of its time, under %.0f %%", 100*share, 100*leastIdle))
+	}
+	if late := time.Duration(w.late.ValueAtQuantile(99)) * time.Microsecond; late > mostLate {
+		faults = append(faults, fmt.Sprintf("this program's timers were late by %v at p99, over %v", late, mostLate))
+	}
+	return faults, nil
+}
+
+// processorTime is this machine's idle and whole processor time so far, in ticks (proc(5), stat).
+func processorTime() (idle, all float64, err error) {
+	text, err := os.ReadFile("/proc/stat")
+	if err != nil {
+		return 0, 0, err
+	}
+	line, _, _ := strings.Cut(string(text), "\n")
+	for i, field := range strings.Fields(line)[1:] {
+		var v float64
+		if _, err := fmt.Sscan(field, &v); err != nil {
+			return 0, 0, fmt.Errorf("/proc/stat: %q: %w", line, err)
+		}
+		if i < 8 { // what follows is in user and nice already
+			all += v
+		}
+		if i == 3 || i == 4 { // idle, iowait
+			idle += v
+		}
+	}
+	if all == 0 {
+		return 0, 0, errors.New("/proc/stat: no times")
+	}
+	return idle, all, nil
+}
--- /dev/null
+++ b/internal/scale/plan_test.go
@@ -0,0 +1,196 @@
+package scale
+
+import (
+	"context"
+	"math"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"clayproxy.example/clayproxy/internal/capacity"
+)
+
+// TestPlanErrors: a wrong key or value is an error of one line that names the file, the line and it.
+func TestPlanErrors(t *testing.T) {
+	for _, c := range []struct{ text, want string }{
+		{"name = \"p\"\nsizes = [50]\nhury = 3", `p.toml:3: unknown key "hury"`},
+		{"sizes = [50]\n[fleet]\nsize = 3", `p.toml:2: unknown key "fleet"`},
+		{"sizes = [50]\nname = \"\"", "p.toml:2: name: must be there"},
+		{"name = \"p\"", "p.toml:1: sizes: one at least is needed"},
+		{"sizes = [50,\n 2]", "p.toml:1: sizes: 2 hollow agents: 3 at least"},
+		{"sizes = [50]\nreal = -1", "p.toml:2: real: must be 0 or more, is -1"},
+		{"sizes = [50]\n\nlists = 5", "p.toml:3: lists: must be 3 or 4, is 5"},
+		{"sizes = [50]\nlisted = -2", "p.toml:2: listed: must be 0 or more, is -2"},
+		{"sizes = [50]\nagents_a_host = 0", "p.toml:2: agents_a_host: must be above 0, is 0"},
+		{"sizes = [50]\nrepeats = 0", "p.toml:2: repeats: must be above 0, is 0"},
+		{"sizes = [50]\ndays = [\"quiet\", \"party\"]", `p.toml:2: days: there is no day "party"`},
+		{"sizes = [50]\ndays = [\"quiet\", \"quiet\"]", `p.toml:2: days: "quiet" is there twice`},
+		{"sizes = [50]\ndays = []", "p.toml:2: days: one at least is needed"},
+		{"sizes = [50]\nseconds = 1", "p.toml:2: seconds: must be from 5 to 3600, is 1"},
+		{"sizes = [50]\nhurry = nan", "p.toml:2: hurry: must be above 0, is NaN"},
+		{"sizes = [50]\nhurry = -3.0", "p.toml:2: hurry: must be above 0, is -3"},
+		{"sizes = [50]\nseed = \"x\"", "p.toml:2: seed: "},
+		{"sizes = [50", "p.toml:1: "},
+	} {
+		_, err := ParsePlan("p.toml", c.text)
+		if err == nil || !strings.HasPrefix(err.Error(), c.want) || strings.Contains(err.Error(), "\n") {
+			t.Errorf("%q: %v, want one line that begins with %s", c.text, err, c.want)
+		}
+	}
+	if _, err := LoadPlan(filepath.Join(t.TempDir(), "none.toml")); err == nil || !strings.Contains(err.Error(), "none.toml") {
+		t.Errorf("no file: %v", err)
+	}
+	p, err := ParsePlan("p.toml", "sizes = [50, 100]\nseconds = 30.0")
+	if err != nil || !slices.Equal(p.Sizes, []int{50, 100}) || p.Seconds != 30 || p.Real != 20 || p.Lists != 3 {
+		t.Errorf("a plan of two keys: %+v, %v", p, err)
+	}
+}
+
+// TestCommittedPlan: what is committed is a plan, and so is the built-in one.
+func TestCommittedPlan(t *testing.T) {
+	if _, err := LoadPlan("../../docs/capacity/plan.toml"); err != nil {
+		t.Error(err)
+	}
+	if key, err := SmallPlan().check(); err != nil {
+		t.Errorf("%s: %v", key, err)
+	}
+}
+
+// TestTargetErrors: a target without what rates come from names the key.
+func TestTargetErrors(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "target.toml")
+	for _, c := range []struct{ text, want string }{
+		{"[fleet]\nagents = 0", "fleet.agents"},
+		{"[fleet]\nagents = 10\n[changes]\nper_day = -1", "changes.per_day"},
+		{"[fleet]\nagents = 10\n[day]\nmachines_failed = -1", "day.machines_failed"},
+		{"[fleet]\nagents = 10\n[day]\nagents_replaced = -1", "day.agents_replaced"},
+		{"[fleet\n", "target.toml"},
+	} {
+		if err := os.WriteFile(path, []byte(c.text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := LoadTarget(path); err == nil || !strings.Contains(err.Error(), path) || !strings.Contains(err.Error(), c.want) {
+			t.Errorf("%q: %v, want %s", c.text, err, c.want)
+		}
+	}
+	target, err := LoadTarget("../../deploy/target.toml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	// 4,800 changes a day of 1,500 agents: at a size of 150, hurried 100 times, 5.6 in 10 s.
+	if got := target.hurried(4800, 150, &Plan{Seconds: 10, Hurry: 100}); math.Abs(got-5.5556) > 0.001 {
+		t.Errorf("%v changes, want 5.5556", got)
+	}
+}
+
+// TestRefused: a size that the machine can't hold is refused in one line that says what it would
+// take, before anything is started.
+func TestRefused(t *testing.T) {
+	for _, c := range []struct {
+		hollow, real, host int
+		want               string
+	}{
+		{20_000, 20, 500, "MB, and half of this machine's memory is 12000 MB"},
+		{100, 400, 50, "are 406 processes with the runner, and 300 are allowed"},
+		{1000, 20, 1000, "descriptors a process, and 20000 are allowed"},
+	} {
+		p := DefaultPlan()
+		p.Real, p.AgentsAHost = c.real, c.host
+		if err := p.fits(c.hollow, 12_000, 12_000, 20_000); err == nil || !strings.Contains(err.Error(), c.want) || strings.Contains(err.Error(), "\n") {
+			t.Errorf("%+v: %v, want %s", c, err, c.want)
+		}
+	}
+	p := DefaultPlan()
+	if err := p.fits(400, 12_000, 12_000, 20_000); err != nil {
+		t.Errorf("400 hollow agents within 12,000 MB: %v", err)
+	}
+	if err := p.fits(400, 12_000, 500, 20_000); err == nil || !strings.Contains(err.Error(), "500 MB are free") {
+		t.Errorf("with 500 MB free: %v", err)
+	}
+	dir := t.TempDir()
+	p.Sizes = []int{50, 1_000_000}
+	err := Play(context.Background(), Config{Plan: p, Target: &Target{Agents: 1500}, Dir: dir, Agent: "none", List: "none", Host: []string{"none"},
+		Done: func(*capacity.Run) error { t.Error("a run was played"); return nil }})
+	if err == nil || !strings.Contains(err.Error(), "1000000 hollow agents") {
+		t.Errorf("a million agents: %v", err)
+	}
+	if left, _ := os.ReadDir(dir); len(left) > 0 {
+		t.Errorf("a refused plan left %v", left)
+	}
+}
+
+// TestInForce: a change is in force with its version or a later one; who ended before its time was
+// up is not counted as without it, who was there all the time is, and who left lines out is neither.
+func TestInForce(t *testing.T) {
+	tr := newTracker()
+	now := time.Now()
+	at := func(s float64) time.Time { return now.Add(time.Duration(s * float64(time.Second))) }
+	tr.force("early", 7, at(-100)) // before it is known to run
+	for _, n := range []string{"early", "all", "over", "late", "never", "short", "blind", "new"} {
+		tr.begin(n)
+		tr.now[n].start = at(-100)
+	}
+	tr.changed(5, at(-60))
+	tr.changed(7, at(-50))
+	tr.force("all", 5, at(-59))
+	tr.force("all", 7, at(-49.5))
+	tr.force("over", 7, at(-48)) // 5 was passed over: 12 s and 2 s
+	tr.force("late", 7, at(-29)) // 31 s and 21 s: both absent
+	tr.force("blind", 5, at(-59))
+	tr.blinded("blind")
+	tr.now["new"].start = at(-55) // the change of version 5 was before it
+	tr.force("new", 7, at(-50.2)) // before the acknowledgement: at once
+	tr.end("short")
+	tr.lives[slices.IndexFunc(tr.lives, func(l *life) bool { return l.agent == "short" })].end = at(-45)
+	times, missing, err := tr.times()
+	if err != nil {
+		t.Fatal(err)
+	}
+	// early 0, 0; all 1 s, 0.5 s; over 12 s, 2 s; new 0.
+	if times.N != 7 || times.Absent != 4 || missing != 2 || math.Abs(times.Worst-12_000) > 12 || math.Abs(times.P50-500) > 1 {
+		t.Errorf("%+v, missing %d", times, missing)
+	}
+	tr.day()
+	if times, missing, err := tr.times(); err != nil || times.N != 0 || times.Absent != 0 || missing != 0 || tr.last() != 0 {
+		t.Errorf("on the next day: %+v, %d, %v", times, missing, err)
+	}
+}
+
+// TestAgentLog: versions and counts are read from the agent's own lines.
+func TestAgentLog(t *testing.T) {
+	dir := t.TempDir()
+	tr := newTracker()
+	r := &reals{dir: dir, heard: tr, logs: map[string]*agentLog{"a": {}}}
+	tr.begin("a")
+	write := func(text string) {
+		f, err := os.OpenFile(filepath.Join(dir, "a.log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer f.Close()
+		if _, err := f.WriteString(text); err != nil {
+			t.Fatal(err)
+		}
+	}
+	write("time=2026-12-02T04:23:10.125Z level=INFO msg=list watch=true full=false from=0 to=36 lines=33\n" +
+		`time=2026-12-02T04:23:11.000Z level=INFO msg=figures open=0 module="{States:[1 30 2 0] Held:0 InFlight:0}" counts="{taken:0 unlisted:1 unlogged:0}"` + "\n" +
+		"time=2026-12-02T04:23:12.5")
+	if err := r.read("a"); err != nil {
+		t.Fatal(err)
+	}
+	if v, n := r.knows("a"); v != 36 || n != 33 || tr.now["a"].blind {
+		t.Errorf("version %d, %d servers, blind %v", v, n, tr.now["a"].blind)
+	}
+	write("00Z level=INFO msg=list watch=true full=false from=36 to=38 lines=1\n" +
+		`time=2026-12-02T04:23:13.000Z level=INFO msg=figures module="{States:[1 30 2 0] Held:0}" counts="{taken:0 unlogged:2}"` + "\n")
+	if err := r.read("a"); err != nil {
+		t.Fatal(err)
+	}
+	want := time.Date(2026, 12, 2, 4, 23, 12, 500e6, time.UTC)
+	if f := tr.now["a"].forced; len(f) != 2 || f[1].version != 38 || !f[1].at.Equal(want) || !tr.now["a"].blind {
+		t.Errorf("%+v, blind %v", f, tr.now["a"].blind)
+	}
+}
--- /dev/null
+++ b/internal/scale/run.go
@@ -0,0 +1,228 @@
+package scale
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"runtime/debug"
+	"slices"
+	"time"
+
+	"clayproxy.example/clayproxy/internal/capacity"
+	"clayproxy.example/clayproxy/internal/switchboard"
+)
+
+// Config is how a plan is played.
+type Config struct {
+	Plan   *Plan
+	Target *Target
+	Agent  string   // the built agent (bin/ringtrack)
+	List   string   // the built list service (bin/fernlist)
+	Host   []string // the command line of a host process
+	Dir    string   // for configurations, logs and the list service's data
+	Commit string   // of the programs
+	// Progress is told what happens; nil: nobody.
+	Progress func(format string, args ...any)
+	// Done is called with each run as it ends.
+	Done func(*capacity.Run) error
+}
+
+// startTries is how many fleets are started where one does not come to one view at its start. Each
+// that does not is a run that does not count, and is recorded.
+const startTries = 3
+
+// Play plays a plan: each repeat of each size on a fleet of its own, on which its days follow
+// each other. A day in which regions lose each other has another fleet, whose packets pass a
+// relay. A size that this machine can't hold is an error that says what it takes, before anything
+// is started; where ctx ends all that was started is ended, and what was done was given to Done.
+func Play(ctx context.Context, cfg Config) error {
+	if cfg.Progress == nil {
+		cfg.Progress = func(string, ...any) {}
+	}
+	if err := cfg.Plan.Fits(); err != nil {
+		return err
+	}
+	var straight, relayed []string
+	for _, d := range cfg.Plan.Days {
+		if d == "region" {
+			relayed = append(relayed, d)
+		} else {
+			straight = append(straight, d)
+		}
+	}
+	for repeat := 1; repeat <= cfg.Plan.Repeats; repeat++ {
+		for _, hollow := range cfg.Plan.Sizes {
+			for _, names := range [][]string{straight, relayed} {
+				if err := cfg.fleet(ctx, hollow, repeat, names); err != nil {
+					return err
+				}
+			}
+		}
+	}
+	return nil
+}
+
+// fleet plays days on fleets of one size: on one, unless that does not settle before a day.
+func (cfg *Config) fleet(ctx context.Context, hollow, repeat int, names []string) error {
+	for tries := 0; len(names) > 0; {
+		played, err := cfg.one(ctx, hollow, repeat, names)
+		if ctx.Err() != nil {
+			return errors.New("interrupted")
+		}
+		if err != nil {
+			return fmt.Errorf("%d hollow agents, repeat %d, %s: %w", hollow, repeat, names[min(played, len(names)-1)], err)
+		}
+		if names = names[played:]; played > 0 {
+			tries = 0
+		} else if tries++; tries == startTries {
+			cfg.Progress("%d hollow agents: %d fleets did not settle, %v is not played", hollow, tries, names)
+			return nil
+		}
+	}
+	return nil
+}
+
+// one starts a fleet and plays days on it, as far as it settles before each.
+func (cfg *Config) one(ctx context.Context, hollow, repeat int, names []string) (played int, err error) {
+	dir, err := os.MkdirTemp(cfg.Dir, "fleet")
+	if err != nil {
+		return 0, err
+	}
+	p := cfg.Plan
+	seed := p.Seed + uint64(repeat) - 1
+	f := &running{plan: p, size: hollow + p.Real, listed: p.Listed, dir: dir, draw: rand.New(rand.NewPCG(seed, uint64(hollow))),
+		heard: newTracker(), meters: map[string]*meter{}}
+	if f.listed == 0 {
+		f.listed = f.size
+	}
+	defer f.close()
+	if slices.Contains(names, "region") {
+		if f.board, err = switchboard.New(seed); err != nil {
+			return 0, err
+		}
+	}
+	cfg.Progress("%d hollow and %d real agents, repeat %d: starting", hollow, p.Real, repeat)
+	if err := f.start(ctx, cfg, hollow); err != nil {
+		return 0, fmt.Errorf("start: %w", err)
+	}
+	for _, name := range names {
+		run := &capacity.Run{Plan: p.Name, Commit: cfg.Commit, Day: name, Repeat: repeat, Seed: seed, Size: f.size, Hollow: hollow, Real: p.Real,
+			Lists: p.Lists, Listed: f.listed, Hurry: p.Hurry}
+		ok, err := f.day(ctx, cfg, run)
+		if err != nil {
+			return played, err
+		}
+		if err := cfg.Done(run); err != nil {
+			return played, err
+		}
+		if !ok {
+			return played, nil
+		}
+		played++
+	}
+	return played, nil
+}
+
+// day plays one day on a fleet and fills its record. It is not played (false) where the fleet does
+// not settle before it.
+func (f *running) day(ctx context.Context, cfg *Config, run *capacity.Run) (bool, error) {
+	// Those whose machine failed on the day before are there again.
+	if err := f.each(ctx, f.which(false), f.up); err != nil {
+		return false, err
+	}
+	apart, err := f.settled(ctx, true)
+	if err != nil {
+		return false, err
+	}
+	if apart != "" {
+		run.Invalid = append(run.Invalid, fmt.Sprintf("not played: before the day, after %v, %s", settleTime, apart))
+		cfg.Progress("%s: %s", run.Day, run.Invalid[0])
+		return false, nil
+	}
+	select {
+	case <-time.After(restTime):
+	case <-ctx.Done():
+		return false, ctx.Err()
+	}
+	cfg.Progress("%d hollow agents, repeat %d: %s", run.Hollow, run.Repeat, run.Day)
+	f.heard.day()
+	steps, missing := days[run.Day](f, cfg.Target)
+	before, err := f.sample(ctx)
+	if err != nil {
+		return false, err
+	}
+	w, err := startWatch()
+	if err != nil {
+		return false, err
+	}
+	began := time.Now()
+	err = f.play(ctx, steps)
+	run.Seconds = time.Since(began).Seconds()
+	faults, werr := w.end()
+	if err = errors.Join(err, werr); err != nil {
+		return false, err
+	}
+	after, err := f.sample(ctx)
+	if err != nil {
+		return false, err
+	}
+	run.Roles = f.roles(before, after)
+	run.Missing, run.Invalid = append(missing, notMeasured...), faults
+	if apart, err = f.settled(ctx, false); err != nil {
+		return false, err
+	}
+	run.Settled = apart == ""
+	if apart != "" {
+		cfg.Progress("%s: at its end, after %v, %s", run.Day, settleTime, apart)
+	}
+	return true, f.tellTimes(run)
+}
+
+// notMeasured is what no run can tell.
+var notMeasured = []string{
+	"heap_mb, alloc_kb_s and goroutines of real agents: their process does not tell them",
+	"bytes, messages and discovery_bytes_s of real agents: only the fleet view's bytes are told at their door",
+	"members and servers of list instances are not told apart: each has all that is listed",
+}
+
+// tellTimes fills the times from acknowledged to in force.
+func (f *running) tellTimes(run *capacity.Run) error {
+	for _, m := range f.which(true) {
+		if m.host == nil {
+			if err := f.reals.read(m.name); err != nil {
+				return err
+			}
+		}
+	}
+	times, missing, err := f.heard.times()
+	if err != nil {
+		return err
+	}
+	run.Changes = f.heard.count()
+	run.InForce = map[string]capacity.Times{"list": times}
+	if missing > 0 {
+		run.Missing = append(run.Missing, fmt.Sprintf("in force: %d pairs of change and real agent, whose log left lines out", missing))
+	}
+	return nil
+}
+
+// Commit is the commit that this program was built from, "-dirty" after it where the tree was
+// changed; "unknown" where the build does not say.
+func Commit() string {
+	info, ok := debug.ReadBuildInfo()
+	if !ok {
+		return "unknown"
+	}
+	commit, dirty := "unknown", ""
+	for _, s := range info.Settings {
+		switch {
+		case s.Key == "vcs.revision":
+			commit = s.Value[:min(len(s.Value), 12)]
+		case s.Key == "vcs.modified" && s.Value == "true":
+			dirty = "-dirty"
+		}
+	}
+	return commit + dirty
+}
--- /dev/null
+++ b/internal/scale/scale_test.go
@@ -0,0 +1,225 @@
+package scale
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"clayproxy.example/clayproxy/internal/capacity"
+	"clayproxy.example/clayproxy/internal/cluster"
+)
+
+// programs builds what a run starts, once for all tests.
+var programs = sync.OnceValues(func() (string, error) {
+	dir, err := os.MkdirTemp("", "scale")
+	if err != nil {
+		return "", err
+	}
+	for _, program := range []string{"ringtrack", "fernlist", "fernlab"} {
+		if out, err := exec.Command("go", "build", "-o", filepath.Join(dir, program), "../../cmd/"+program).CombinedOutput(); err != nil {
+			return dir, fmt.Errorf("build %s: %w\n%s", program, err, out)
+		}
+	}
+	return dir, nil
+})
+
+func TestMain(m *testing.M) {
+	code := m.Run()
+	if dir, _ := programs(); dir != "" {
+		os.RemoveAll(dir)
+	}
+	os.Exit(code)
+}
+
+// played plays days at one size and gives their records.
+func played(t *testing.T, hollow int, days ...string) []*capacity.Run {
+	t.Helper()
+	bin, err := programs()
+	if err != nil {
+		t.Fatal(err)
+	}
+	target, err := LoadTarget("../../deploy/target.toml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	p := SmallPlan()
+	p.Sizes, p.Days, p.Seconds = []int{hollow}, days, leastSeconds
+	var runs []*capacity.Run
+	err = Play(context.Background(), Config{Plan: p, Target: target, Dir: t.TempDir(), Commit: "test", Agent: filepath.Join(bin, "ringtrack"),
+		List: filepath.Join(bin, "fernlist"), Host: []string{filepath.Join(bin, "fernlab"), "scale-host"},
+		Progress: t.Logf, Done: func(r *capacity.Run) error { runs = append(runs, r); return nil }})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(runs) != len(days) {
+		t.Fatalf("%d runs of %d days", len(runs), len(days))
+	}
+	return runs
+}
+
+// reached judges that a run's changes reached all, and that all came to one view.
+func reached(t *testing.T, r *capacity.Run) {
+	t.Helper()
+	if !r.Settled {
+		t.Errorf("%d hollow, %s: not all came to one view and the last list", r.Hollow, r.Day)
+	}
+	times := r.InForce["list"]
+	if times.Absent > 0 {
+		t.Errorf("%d hollow, %s: %d pairs of change and agent without it", r.Hollow, r.Day, times.Absent)
+	}
+	if r.Day != "quiet" && (r.Changes == 0 || times.N < int64(r.Changes*r.Size/2) || times.Histogram == "") {
+		t.Errorf("%d hollow, %s: %d changes, %d times", r.Hollow, r.Day, r.Changes, times.N)
+	}
+	if r.Roles[capacity.RoleHollow].Count < r.Hollow-1 || r.Roles[capacity.RoleReal].Count < r.Real-1 || r.Roles[capacity.RoleLeader].Count != 1 ||
+		r.Roles[capacity.RoleFollower].Count != r.Lists-1 {
+		t.Errorf("%d hollow, %s: roles of %v", r.Hollow, r.Day, r.Roles)
+	}
+}
+
+// TestShapes plays two small sizes: messages a member do not grow with the fleet, no figure of a
+// member grows with its square, and changes reach all.
+func TestShapes(t *testing.T) {
+	sizes := []int{12, 30}
+	runs := make([][]*capacity.Run, len(sizes))
+	t.Run("sizes", func(t *testing.T) {
+		for i, n := range sizes {
+			t.Run(fmt.Sprint(n), func(t *testing.T) {
+				t.Parallel()
+				runs[i] = played(t, n, "quiet", "ordinary")
+				for _, r := range runs[i] {
+					reached(t, r)
+				}
+			})
+		}
+		t.Run("troubles", func(t *testing.T) {
+			t.Parallel()
+			for _, r := range played(t, 12, "rollout", "control") {
+				reached(t, r)
+			}
+		})
+		t.Run("regions", func(t *testing.T) {
+			t.Parallel()
+			for _, r := range played(t, 12, "region") {
+				reached(t, r)
+			}
+		})
+	})
+	if t.Failed() {
+		return
+	}
+	for day := range runs[0] {
+		small, large := runs[0][day], runs[1][day]
+		square := float64(large.Size) / float64(small.Size)
+		square *= square
+		for _, role := range []string{capacity.RoleHollow, capacity.RoleReal} {
+			a, b := small.Roles[role].Mean, large.Roles[role].Mean
+			for name, v := range b {
+				switch {
+				case name == capacity.CPU:
+					// A time: on a machine that is busy it says nothing.
+				case small.Day == "quiet" && (name == capacity.MessagesIn || name == capacity.MessagesOut) && v > 1.6*a[name]+1:
+					t.Errorf("%s, %s: %s grow with the fleet: %.3g at %d agents, %.3g at %d", small.Day, role, name, a[name], small.Size, v, large.Size)
+				case v > 0.9*square*a[name]+1 && !slices.Contains([]string{capacity.ViewBytes, capacity.BytesIn, capacity.BytesOut}, name),
+					// Whole lists are exchanged seldom: one in a short day is much of its bytes.
+					v > 0.9*square*a[name]+2000:
+					t.Errorf("%s, %s: %s grows with the fleet's square: %.3g at %d agents, %.3g at %d", small.Day, role, name, a[name], small.Size, v, large.Size)
+				}
+			}
+		}
+	}
+}
+
+// descendants are the processes that a process started, and those that these did.
+func descendants(pid int) (all []int) {
+	stats, _ := filepath.Glob("/proc/[0-9]*/stat")
+	for _, path := range stats {
+		text, err := os.ReadFile(path)
+		if err != nil {
+			continue // it has ended
+		}
+		var child, parent int
+		var state string
+		fmt.Sscan(string(text), &child)
+		fmt.Sscan(string(text[bytes.LastIndexByte(text, ')')+1:]), &state, &parent)
+		if parent == pid {
+			all = append(append(all, child), descendants(child)...)
+		}
+	}
+	return all
+}
+
+// gone tells whether none of some processes runs any more.
+func gone(pids []int) bool {
+	return !slices.ContainsFunc(pids, func(pid int) bool {
+		text, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
+		return err == nil && !strings.HasPrefix(string(text[bytes.LastIndexByte(text, ')')+1:]), " Z")
+	})
+}
+
+// TestInterrupted: a run that is interrupted, or killed, ends all its processes and keeps what it
+// has recorded.
+func TestInterrupted(t *testing.T) {
+	for _, sig := range []syscall.Signal{syscall.SIGINT, syscall.SIGKILL} {
+		t.Run(sig.String(), func(t *testing.T) {
+			t.Parallel()
+			bin, err := programs()
+			if err != nil {
+				t.Fatal(err)
+			}
+			dir := t.TempDir()
+			record, plan := filepath.Join(dir, "record.jsonl"), filepath.Join(dir, "plan.toml")
+			if err := os.WriteFile(plan, []byte("sizes = [6]\nreal = 2\nagents_a_host = 3\ndays = [\"quiet\", \"ordinary\"]\nseconds = 5\nhurry = 5000.0\nrepeats = 9"), 0o600); err != nil {
+				t.Fatal(err)
+			}
+			cmd := exec.Command(filepath.Join(bin, "fernlab"), "scale", plan, "--record", record, "--programs", bin, "--logs", dir, "--target", "../../deploy/target.toml")
+			cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+			var said bytes.Buffer
+			cmd.Stdout, cmd.Stderr = &said, &said
+			if err := cmd.Start(); err != nil {
+				t.Fatal(err)
+			}
+			t.Cleanup(func() { cmd.Process.Kill() })
+			lines := func() (n int) {
+				text, _ := os.ReadFile(record)
+				return bytes.Count(text, []byte("\n"))
+			}
+			if err := cluster.Await(50*time.Second, "the first run is recorded", func() bool { return lines() > 0 }); err != nil {
+				t.Fatalf("%v\n%s", err, &said)
+			}
+			started := descendants(cmd.Process.Pid)
+			if len(started) < 2+2+3 {
+				t.Fatalf("%d processes run, 2 hosts, 2 agents and 3 list instances should", len(started))
+			}
+			cmd.Process.Signal(sig)
+			err = cmd.Wait()
+			if err == nil || sig == syscall.SIGINT && !strings.Contains(said.String(), "interrupted") {
+				t.Errorf("it ended with %v and said:\n%s", err, &said)
+			}
+			if err := cluster.Await(10*time.Second, "all its processes have ended", func() bool { return gone(started) }); err != nil {
+				t.Error(err)
+			}
+			f, err := os.Open(record)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer f.Close()
+			for in := bufio.NewScanner(f); in.Scan(); {
+				var r capacity.Run
+				if err := json.Unmarshal(in.Bytes(), &r); err != nil || r.Day == "" || len(r.Roles) != 4 {
+					t.Errorf("a record that can't be used (%v): %s", err, in.Text())
+				}
+			}
+		})
+	}
+}
