--- a/internal/scale/fleet.go
+++ b/internal/scale/fleet.go
@@ -52,7 +52,7 @@
 	name   string
 	index  int
 	zone   int
-	host   *host // nil: a real one
+	host   *hostProcess // nil: a real one
 	ip     string
 	config json.RawMessage
 
@@ -77,7 +77,7 @@
 	network byte
 	board   *switchboard.Board // nil: the fleet view's packets pass no relay
 	lists   *lists
-	hosts   []*host
+	hosts   []*hostProcess
 	reals   *reals
 	heard   *tracker
 	meters  map[string]*meter // of the processes that may end and start again
--- a/internal/scale/hosts.go
+++ b/internal/scale/hostprocess.go
@@ -14,8 +14,8 @@
 	"time"
 )
 
-// host is one process of hollow agents, as the runner holds it.
-type host struct {
+// hostProcess is one process of hollow agents, as the runner holds it.
+type hostProcess struct {
 	name string
 	cmd  *exec.Cmd
 	done chan struct{} // closed at its end
@@ -39,13 +39,13 @@
 )
 
 // startHost starts a host process by its command line, with its log in a directory.
-func startHost(command []string, name, dir string, heard *tracker) (*host, error) {
+func startHost(command []string, name, dir string, heard *tracker) (*hostProcess, error) {
 	log, err := os.Create(filepath.Join(dir, name+".log"))
 	if err != nil {
 		return nil, err
 	}
 	defer log.Close()
-	h := &host{name: name, done: make(chan struct{}), heard: heard, waits: map[string]chan error{}, reports: make(chan *Report, 1)}
+	h := &hostProcess{name: name, done: make(chan struct{}), heard: heard, waits: map[string]chan error{}, reports: make(chan *Report, 1)}
 	h.cmd = exec.Command(command[0], command[1:]...)
 	h.cmd.Stderr = log
 	// However the runner ends, no host stays: at its end their orders end, and the kernel kills them.
@@ -69,7 +69,7 @@
 }
 
 // listen takes the host's words until they end, and then ends all that waits for more.
-func (h *host) listen(out io.Reader) {
+func (h *hostProcess) listen(out io.Reader) {
 	words := json.NewDecoder(out)
 	for {
 		var t Telling
@@ -81,7 +81,7 @@
 	}
 }
 
-func (h *host) take(t *Telling) {
+func (h *hostProcess) take(t *Telling) {
 	var err error
 	if t.Err != "" {
 		err = fmt.Errorf("%s: %s", h.name, t.Err)
@@ -110,7 +110,7 @@
 }
 
 // fail ends all that waits.
-func (h *host) fail(err error) {
+func (h *hostProcess) fail(err error) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if h.failed == nil {
@@ -123,7 +123,7 @@
 }
 
 // resolve ends a wait and tells whether there was one.
-func (h *host) resolve(what string, err error) bool {
+func (h *hostProcess) resolve(what string, err error) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	wait := h.waits[what]
@@ -136,7 +136,7 @@
 }
 
 // do gives an order and waits until the host has said what is waited for.
-func (h *host) do(ctx context.Context, o Order, until string) error {
+func (h *hostProcess) do(ctx context.Context, o Order, until string) error {
 	wait := make(chan error, 1)
 	h.mu.Lock()
 	h.waits[until] = wait
@@ -154,7 +154,7 @@
 	}
 }
 
-func (h *host) order(o Order) error {
+func (h *hostProcess) order(o Order) error {
 	text, err := json.Marshal(o)
 	if err != nil {
 		return err
@@ -169,7 +169,7 @@
 }
 
 // report asks for what the host has taken.
-func (h *host) report(ctx context.Context) (*Report, error) {
+func (h *hostProcess) report(ctx context.Context) (*Report, error) {
 	select {
 	case <-h.reports: // one that came too late
 	default:
@@ -190,7 +190,7 @@
 }
 
 // close ends the host and all its agents.
-func (h *host) close() {
+func (h *hostProcess) close() {
 	h.in.Close()
 	select {
 	case <-h.done:
--- a/internal/scale/measure.go
+++ b/internal/scale/measure.go
@@ -289,7 +289,7 @@
 func startWatch() (*watch, error) {
 	w := &watch{late: hdrhistogram.New(1, 60_000_000, 3), stop: make(chan struct{}), stopped: make(chan struct{})}
 	var err error
-	if w.idle, w.all, err = processorTime(); err != nil {
+	if w.idle, w.all, err = machineTime(); err != nil {
 		return nil, err
 	}
 	go func() {
@@ -311,7 +311,7 @@
 func (w *watch) end() (faults []string, err error) {
 	close(w.stop)
 	<-w.stopped
-	idle, all, err := processorTime()
+	idle, all, err := machineTime()
 	if err != nil {
 		return nil, err
 	}
@@ -324,8 +324,8 @@
 	return faults, nil
 }
 
-// processorTime is this machine's idle and whole processor time so far, in ticks (proc(5), stat).
-func processorTime() (idle, all float64, err error) {
+// machineTime is this machine's idle and whole processor time so far, in ticks (proc(5), stat).
+func machineTime() (idle, all float64, err error) {
 	text, err := os.ReadFile("/proc/stat")
 	if err != nil {
 		return 0, 0, err
