Count hollow agents over their restarts, and the real ones' calls to discovery

A report before the end now carries on what it had counted, as for real agents. Of real agents the log's figures tell the calls to discovery. The record names the commit as the lab's does: builds here have no version of their own. Tests of plans, targets, refusals, times and logs, and of interrupted and killed runs: ok, -race.

--- a/cmd/fernlab/main.go
+++ b/cmd/fernlab/main.go
@@ -67,9 +67,8 @@
 			if logs == "" {
 				defer os.RemoveAll(dir)
 			}
-			top, _ := exec.Command("git", "rev-parse", "--show-toplevel").Output()
 			var recs []*lab.Record
-			err = lab.Play(cmd.Context(), lab.Config{Scenario: s, Binary: binary, Repo: strings.TrimSpace(string(top)), Dir: dir, Progress: progress(),
+			err = lab.Play(cmd.Context(), lab.Config{Scenario: s, Binary: binary, Repo: checkout(), Dir: dir, Progress: progress(),
 				Done: func(r *lab.Record) error {
 					recs = append(recs, r)
 					return r.Write(to)
@@ -87,6 +86,12 @@
 	return cmd
 }
 
+// checkout is the directory of the checkout that this command runs in, or empty.
+func checkout() string {
+	top, _ := exec.Command("git", "rev-parse", "--show-toplevel").Output()
+	return strings.TrimSpace(string(top))
+}
+
 func troubles() string {
 	var b strings.Builder
 	does := lab.Kinds()
--- a/cmd/fernlab/scale.go
+++ b/cmd/fernlab/scale.go
@@ -12,6 +12,7 @@
 	"github.com/spf13/cobra"
 
 	"clayproxy.example/clayproxy/internal/capacity"
+	"clayproxy.example/clayproxy/internal/lab"
 	"clayproxy.example/clayproxy/internal/scale"
 )
 
@@ -30,8 +31,9 @@
 			if err != nil {
 				return err
 			}
-			cfg := scale.Config{Plan: plan, Commit: scale.Commit(), Progress: progress(),
+			cfg := scale.Config{Plan: plan, Progress: progress(),
 				Agent: filepath.Join(programs, "ringtrack"), List: filepath.Join(programs, "fernlist")}
+			cfg.Commit = lab.Revision("", cfg.Agent, checkout())
 			if cfg.Target, err = scale.LoadTarget(target); err != nil {
 				return err
 			}
--- a/internal/lab/run.go
+++ b/internal/lab/run.go
@@ -14,6 +14,7 @@
 	"os/exec"
 	"path/filepath"
 	"runtime"
+	"runtime/debug"
 	"slices"
 	"strconv"
 	"strings"
@@ -219,7 +220,7 @@
 		r.w.Stop()
 		r.procs.Close()
 	})
-	rec := &Record{Scenario: s.Name, Arm: a.Name, Seed: seed, Commit: revision(a.Commit, program, cfg.Repo), Machine: machine(), Length: s.Length}
+	rec := &Record{Scenario: s.Name, Arm: a.Name, Seed: seed, Commit: Revision(a.Commit, program, cfg.Repo), Machine: machine(), Length: s.Length}
 	if r.board != nil {
 		troubles.Add(1)
 		go func() {
@@ -250,16 +251,20 @@
 	return rec, nil
 }
 
-// revision is the commit of a program: the one it was built from here, what it says itself, or
-// that of the checkout.
-func revision(commit, program, repo string) string {
+// Revision is the commit of a program: the one it was built from here, what it says itself, or
+// that of the checkout; "-dirty" is after it where the tree was changed, "unknown" where nothing says.
+func Revision(commit, program, repo string) string {
 	if commit != "" {
 		return commit
 	}
 	if info, err := buildinfo.ReadFile(program); err == nil {
+		dirty := ""
+		if slices.ContainsFunc(info.Settings, func(s debug.BuildSetting) bool { return s.Key == "vcs.modified" && s.Value == "true" }) {
+			dirty = "-dirty"
+		}
 		for _, s := range info.Settings {
 			if s.Key == "vcs.revision" {
-				return s.Value[:min(len(s.Value), 12)]
+				return s.Value[:min(len(s.Value), 12)] + dirty
 			}
 		}
 	}
--- a/internal/scale/days.go
+++ b/internal/scale/days.go
@@ -137,7 +137,7 @@
 	f.mu.Lock()
 	f.draw.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
 	f.mu.Unlock()
-	steps, missing := f.changes(t), []string{noSettings, "what agents told in their last moments: a successor counts anew"}
+	steps, missing := f.changes(t), []string{noSettings, "traffic of agents that end, from up to 0.2 s before the order on"}
 	turn := make(chan struct{}, 1)
 	turn <- struct{}{}
 	for i := range parts {
--- a/internal/scale/fleet.go
+++ b/internal/scale/fleet.go
@@ -56,9 +56,8 @@
 	ip     string
 	config json.RawMessage
 
-	up      bool      // it runs, or is started or ended just now (busy)
-	busy    bool      // somebody starts or ends it
-	started time.Time // its present start
+	up   bool // it runs
+	busy bool // somebody starts or ends it
 }
 
 func (m *member) at(port int) string { return net.JoinHostPort(m.ip, strconv.Itoa(port)) }
@@ -114,9 +113,9 @@
 	}
 	var names []string
 	for _, m := range f.members {
+		f.meters[m.name] = &meter{}
 		if m.host == nil {
 			names = append(names, m.name)
-			f.meters[m.name] = &meter{}
 		}
 	}
 	if f.reals, err = newReals(cfg.Agent, f.dir, names, f.heard); err != nil {
@@ -217,12 +216,15 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	m.up, m.busy, m.started = err == nil, false, time.Now()
+	m.up, m.busy = err == nil, false
 	return err
 }
 
 // down ends a member that runs, in order or not. Its end counts from now on.
 func (f *running) down(ctx context.Context, m *member, orderly bool) error {
+	if err := f.carry(ctx, m); err != nil {
+		return fmt.Errorf("before its end: %w", err)
+	}
 	f.heard.end(m.name)
 	f.mu.Lock()
 	m.up = false
@@ -234,9 +236,6 @@
 		}
 		return m.host.do(ctx, Order{Do: do, Agent: m.name}, "ended "+m.name)
 	}
-	if err := f.endsReal(ctx, m); err != nil {
-		return err
-	}
 	var err error
 	if orderly {
 		err = f.reals.Term(m.name)
@@ -414,10 +413,9 @@
 			if err := f.reals.read(m.name); err != nil {
 				return err
 			}
-			version, _ := f.reals.knows(m.name)
 			mu.Lock()
 			defer mu.Unlock()
-			all[m.name] = sees{s.Digest, s.Settled, version}
+			all[m.name] = sees{s.Digest, s.Settled, f.reals.knows(m.name).version}
 			return nil
 		})
 	}
--- a/internal/scale/hostprocess.go
+++ b/internal/scale/hostprocess.go
@@ -27,6 +27,9 @@
 	waits   map[string]chan error // by what is waited for, such as "started a017"
 	reports chan *Report
 	failed  error // what the host said was wrong, or how its words ended
+
+	reporting sync.Mutex // held while a report is waited for
+	last      *Report
 }
 
 // The longest times that a host may take: to start or end an agent, and to report on all. The
@@ -168,8 +171,29 @@
 	return err
 }
 
+// recentTime is how old a report may be that tells what agents had counted before their ends: where
+// many end at once, one report is for all of them.
+const recentTime = 200 * time.Millisecond
+
+// recent is a report that is not older than recentTime.
+func (h *hostProcess) recent(ctx context.Context) (*Report, error) {
+	h.reporting.Lock()
+	defer h.reporting.Unlock()
+	if h.last != nil && time.Since(time.UnixMicro(h.last.AtUs)) < recentTime {
+		return h.last, nil
+	}
+	return h.ask(ctx)
+}
+
 // report asks for what the host has taken.
 func (h *hostProcess) report(ctx context.Context) (*Report, error) {
+	h.reporting.Lock()
+	defer h.reporting.Unlock()
+	return h.ask(ctx)
+}
+
+// ask asks for a report; the caller holds reporting.
+func (h *hostProcess) ask(ctx context.Context) (*Report, error) {
 	select {
 	case <-h.reports: // one that came too late
 	default:
@@ -178,8 +202,8 @@
 		return nil, err
 	}
 	select {
-	case r := <-h.reports:
-		return r, nil
+	case h.last = <-h.reports:
+		return h.last, nil
 	case <-h.done:
 		return nil, fmt.Errorf("%s has ended", h.name)
 	case <-time.After(reportTime):
--- a/internal/scale/measure.go
+++ b/internal/scale/measure.go
@@ -77,7 +77,7 @@
 			}
 			mu.Lock()
 			defer mu.Unlock()
-			s.takeReport(h.name, r)
+			s.takeReport(h.name, r, f.meters)
 			return nil
 		})
 	}
@@ -114,27 +114,34 @@
 	return s, group.Wait()
 }
 
-// takeReport takes what a host and its agents had taken.
-func (s *sample) takeReport(host string, r *Report) {
+// takeReport takes what a host and its agents had taken, those that ended of the agents with it.
+func (s *sample) takeReport(host string, r *Report, meters map[string]*meter) {
 	at := time.UnixMicro(r.AtUs)
 	s.hosts[host] = reading{at,
 		figures{capacity.CPU: r.CPUSeconds, capacity.AllocKBps: float64(r.AllocBytes) / 1024},
 		figures{capacity.ResidentMB: r.ResidentMB, capacity.HeapMB: r.HeapMB, capacity.Goroutines: float64(r.Goroutines), capacity.Descriptors: float64(r.Descriptors)}}
 	s.agents[host] = len(r.Agents)
 	for name, a := range r.Agents {
-		s.hollow[name] = reading{at, figures{
-			capacity.BytesIn: float64(a.ViewIn + a.ListIn), capacity.BytesOut: float64(a.ViewOut + a.ListOut),
-			// Each call to discovery is a message out, and its answer one in.
-			capacity.MessagesIn: float64(a.ViewMsgIn + a.ListCalls), capacity.MessagesOut: float64(a.ViewMsgOut + a.ListCalls),
-			capacity.ViewBytes: float64(a.ViewIn + a.ViewOut), capacity.ListBytes: float64(a.ListIn + a.ListOut),
-		}, figures{capacity.Members: float64(a.Members), capacity.Servers: float64(a.Servers)}}
+		s.hollow[name] = reading{at, meters[name].sum(hollowCounts(a)), figures{capacity.Members: float64(a.Members), capacity.Servers: float64(a.Servers)}}
 	}
 }
 
+// hollowCounts is what a hollow agent has counted. Each call to discovery is a message out, and its
+// answer one in.
+func hollowCounts(a Agent) figures {
+	return figures{capacity.BytesIn: float64(a.ViewIn + a.ListIn), capacity.BytesOut: float64(a.ViewOut + a.ListOut),
+		capacity.MessagesIn: float64(a.ViewMsgIn + a.ListCalls), capacity.MessagesOut: float64(a.ViewMsgOut + a.ListCalls),
+		capacity.ViewBytes: float64(a.ViewIn + a.ViewOut), capacity.ListBytes: float64(a.ListIn + a.ListOut)}
+}
+
 const mb = 1 << 20
 
-// readReal reads what a real agent has taken, its ended processes with it.
+// readReal reads what a real agent has taken, its ended processes with it, once it has written its
+// counts anew.
 func (f *running) readReal(ctx context.Context, m *member) (reading, error) {
+	if err := f.reals.counted(ctx, m.name, time.Now()); err != nil {
+		return reading{}, err
+	}
 	counted, held, err := f.realNow(ctx, m)
 	return reading{time.Now(), f.meters[m.name].sum(counted), held}, err
 }
@@ -152,17 +159,26 @@
 	if err := f.reals.read(m.name); err != nil {
 		return nil, nil, err
 	}
-	_, servers := f.reals.knows(m.name)
-	t := st.Traffic
+	l, t := f.reals.knows(m.name), st.Traffic
 	in, out := float64(t["bytes_in"]+t["stream_bytes_in"]), float64(t["bytes_out"]+t["stream_bytes_out"])
-	counted = figures{capacity.CPU: u.CPU.Seconds(), capacity.ViewBytes: in + out}
+	counted = figures{capacity.CPU: u.CPU.Seconds(), capacity.BytesIn: in + l.listIn, capacity.BytesOut: out + l.listOut,
+		capacity.MessagesIn: float64(t["packets_in"]+t["streams"]) + l.listCalls, capacity.MessagesOut: float64(t["packets_out"]+t["streams_out"]) + l.listCalls,
+		capacity.ViewBytes: in + out, capacity.ListBytes: l.listIn + l.listOut}
 	held = figures{capacity.ResidentMB: float64(u.RSS) / mb, capacity.Descriptors: float64(u.Descriptors),
-		capacity.Members: float64(st.Present), capacity.Servers: float64(servers)}
+		capacity.Members: float64(st.Present), capacity.Servers: float64(l.servers)}
 	return counted, held, nil
 }
 
-// endsReal carries on what a real agent has counted, which is about to be ended.
-func (f *running) endsReal(ctx context.Context, m *member) error {
+// carry carries on what an agent has counted, which is about to be ended.
+func (f *running) carry(ctx context.Context, m *member) error {
+	if m.host != nil {
+		r, err := m.host.recent(ctx)
+		if err != nil {
+			return err
+		}
+		f.meters[m.name].add(hollowCounts(r.Agents[m.name]))
+		return nil
+	}
 	counted, _, err := f.realNow(ctx, m)
 	if err != nil {
 		return fmt.Errorf("%s, before its end: %w", m.name, err)
@@ -226,9 +242,6 @@
 		from, role, r := before.real[m.name], capacity.RoleReal, after.real[m.name]
 		if m.host != nil {
 			from, role, r = before.hollow[m.name], capacity.RoleHollow, after.hollow[m.name]
-			if m.started.After(from.at) {
-				from = reading{at: m.started} // it counts anew
-			}
 		}
 		if !m.up || r.at.IsZero() || from.at.IsZero() {
 			continue
--- a/internal/scale/plan_test.go
+++ b/internal/scale/plan_test.go
@@ -176,16 +176,16 @@
 		}
 	}
 	write("time=2026-12-02T04:23:10.125Z level=INFO msg=list watch=true full=false from=0 to=36 lines=33\n" +
-		`time=2026-12-02T04:23:11.000Z level=INFO msg=figures open=0 module="{States:[1 30 2 0] Held:0 InFlight:0}" counts="{taken:0 unlisted:1 unlogged:0}"` + "\n" +
+		`time=2026-12-02T04:23:11.000Z level=INFO msg=figures open=0 module="{States:[1 30 2 0] Held:0 InFlight:0}" counts="{taken:0 unlisted:1 unlogged:0 listIn:700 listOut:90 listCalls:3}"` + "\n" +
 		"time=2026-12-02T04:23:12.5")
 	if err := r.read("a"); err != nil {
 		t.Fatal(err)
 	}
-	if v, n := r.knows("a"); v != 36 || n != 33 || tr.now["a"].blind {
-		t.Errorf("version %d, %d servers, blind %v", v, n, tr.now["a"].blind)
+	if l := r.knows("a"); l.version != 36 || l.servers != 33 || l.listIn != 700 || l.listOut != 90 || l.listCalls != 3 || tr.now["a"].blind {
+		t.Errorf("%+v, blind %v", l, tr.now["a"].blind)
 	}
 	write("00Z level=INFO msg=list watch=true full=false from=36 to=38 lines=1\n" +
-		`time=2026-12-02T04:23:13.000Z level=INFO msg=figures module="{States:[1 30 2 0] Held:0}" counts="{taken:0 unlogged:2}"` + "\n")
+		`time=2026-12-02T04:23:13.000Z level=INFO msg=figures module="{States:[1 30 2 0] Held:0}" counts="{taken:0 unlogged:2 listIn:800 listOut:120 listCalls:4}"` + "\n")
 	if err := r.read("a"); err != nil {
 		t.Fatal(err)
 	}
--- a/internal/scale/reals.go
+++ b/internal/scale/reals.go
@@ -35,6 +35,9 @@
 	version  uint64 // of the list
 	servers  int    // entries of the list, by the module's view
 	unlogged int    // lines that the process left out
+	// What calls to discovery had taken at the last "figures" line, and that line's time.
+	listIn, listOut, listCalls float64
+	counted                    time.Time
 }
 
 // newReals makes the processes, whose configurations NAME.json are in dir; none runs yet.
@@ -82,7 +85,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	l := r.logs[name]
-	l.version, l.servers, l.unlogged = 0, 0, 0
+	*l = agentLog{offset: l.offset}
 	return err
 }
 
@@ -98,7 +101,7 @@
 var (
 	timeOf     = regexp.MustCompile(`^time=(\S+) `)
 	listLine   = regexp.MustCompile(` msg=list .*\bto=(\d+)\b`)
-	figureLine = regexp.MustCompile(` msg=figures .*module="\{States:\[(\d+) (\d+) (\d+) (\d+)\].*\bunlogged:(\d+)`)
+	figureLine = regexp.MustCompile(` msg=figures .*module="\{States:\[(\d+) (\d+) (\d+) (\d+)\].*\bunlogged:(\d+)\b.*\blistIn:(\d+) listOut:(\d+) listCalls:(\d+)`)
 )
 
 // read reads what an agent's log has beyond what was read of it.
@@ -131,16 +134,20 @@
 
 // take takes one line; the caller holds mu.
 func (r *reals) take(name string, l *agentLog, line []byte) error {
-	if m := listLine.FindSubmatch(line); m != nil {
-		stamp := timeOf.FindSubmatch(line)
-		if stamp == nil {
-			return fmt.Errorf("a line without a time: %s", line)
-		}
-		at, err := time.Parse(time.RFC3339Nano, string(stamp[1]))
-		if err != nil {
-			return err
-		}
-		version, err := strconv.ParseUint(string(m[1]), 10, 64)
+	list, counts := listLine.FindSubmatch(line), figureLine.FindSubmatch(line)
+	if list == nil && counts == nil {
+		return nil
+	}
+	stamp := timeOf.FindSubmatch(line)
+	if stamp == nil {
+		return fmt.Errorf("a line without a time: %s", line)
+	}
+	at, err := time.Parse(time.RFC3339Nano, string(stamp[1]))
+	if err != nil {
+		return err
+	}
+	if list != nil {
+		version, err := strconv.ParseUint(string(list[1]), 10, 64)
 		if err != nil {
 			return err
 		}
@@ -148,31 +155,44 @@
 		r.heard.force(name, version, at)
 		return nil
 	}
-	m := figureLine.FindSubmatch(line)
-	if m == nil {
-		return nil
-	}
-	var n int
-	l.servers = 0
-	for i, digits := range m[1:] {
-		var err error
-		if n, err = strconv.Atoi(string(digits)); err != nil {
+	var n [8]int
+	for i := range n {
+		if n[i], err = strconv.Atoi(string(counts[i+1])); err != nil {
 			return err
 		}
-		if i < 4 { // by the module's states
-			l.servers += n
-		}
 	}
-	if n > l.unlogged {
+	l.servers = n[0] + n[1] + n[2] + n[3] // by the module's states
+	if n[4] > l.unlogged {
 		r.heard.blinded(name)
 	}
-	l.unlogged = n
+	l.unlogged = n[4]
+	l.listIn, l.listOut, l.listCalls, l.counted = float64(n[5]), float64(n[6]), float64(n[7]), at
 	return nil
 }
 
-// knows is what an agent's log says that it knows: the list's version and its entries.
-func (r *reals) knows(name string) (version uint64, servers int) {
+// knows is what an agent's log has told.
+func (r *reals) knows(name string) agentLog {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.logs[name].version, r.logs[name].servers
+	return *r.logs[name]
+}
+
+// counted waits until an agent has written its counts after a time: it does so each second.
+func (r *reals) counted(ctx context.Context, name string, after time.Time) error {
+	for end := time.Now().Add(countTime); ; {
+		if err := r.read(name); err != nil || r.knows(name).counted.After(after) {
+			return err
+		}
+		if time.Now().After(end) {
+			return fmt.Errorf("%s has not written its counts for %v", name, countTime)
+		}
+		select {
+		case <-time.After(readEvery):
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
 }
+
+// An agent writes its counts each second (README, "Reading the log"), on a full machine later.
+const countTime, readEvery = 5 * time.Second, 20 * time.Millisecond
--- a/internal/scale/run.go
+++ b/internal/scale/run.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"math/rand/v2"
 	"os"
-	"runtime/debug"
 	"slices"
 	"time"
 
@@ -183,8 +182,7 @@
 // notMeasured is what no run can tell.
 var notMeasured = []string{
 	"heap_mb, alloc_kb_s and goroutines of real agents: their process does not tell them",
-	"bytes, messages and discovery_bytes_s of real agents: only the fleet view's bytes are told at their door",
-	"members and servers of list instances are not told apart: each has all that is listed",
+	"servers of real agents are those that are not draining: their process tells no others",
 }
 
 // tellTimes fills the times from acknowledged to in force.
@@ -207,22 +205,3 @@
 	}
 	return nil
 }
-
-// Commit is the commit that this program was built from, "-dirty" after it where the tree was
-// changed; "unknown" where the build does not say.
-func Commit() string {
-	info, ok := debug.ReadBuildInfo()
-	if !ok {
-		return "unknown"
-	}
-	commit, dirty := "unknown", ""
-	for _, s := range info.Settings {
-		switch {
-		case s.Key == "vcs.revision":
-			commit = s.Value[:min(len(s.Value), 12)]
-		case s.Key == "vcs.modified" && s.Value == "true":
-			dirty = "-dirty"
-		}
-	}
-	return commit + dirty
-}
