--- a/internal/scale/days.go
+++ b/internal/scale/days.go
@@ -174,10 +174,10 @@
 func control(f *running, t *Target) ([]step, []string) {
 	gone := make(chan string, 1)
 	steps := append(f.changes(t), step{0.2, func(context.Context) error {
-		lost := f.lists.leader()
+		lost, err := f.lists.awaitLeader()
 		gone <- lost
-		if lost == "" {
-			return errors.New("control: no instance leads")
+		if err != nil {
+			return err
 		}
 		counted, _, err := f.listNow(lost)
 		if err != nil {
--- a/internal/scale/hostprocess.go
+++ b/internal/scale/hostprocess.go
@@ -36,7 +36,7 @@
 // machine is full, and an end in order takes its 3 s (agent.Run).
 const (
 	agentTime  = 30 * time.Second
-	reportTime = 30 * time.Second
+	reportTime = 60 * time.Second
 	// endTime is how long a host may take to end once its orders have.
 	endTime = 3 * time.Second
 )
--- a/internal/scale/lists.go
+++ b/internal/scale/lists.go
@@ -61,13 +61,22 @@
 			return nil, err
 		}
 	}
-	if err := cluster.Await(leaderTime, "the list service has a leader", func() bool { return l.leader() != "" }); err != nil {
+	if _, err := l.awaitLeader(); err != nil {
 		c.Close()
 		return nil, err
 	}
 	return l, nil
 }
 
+// awaitLeader waits until an instance leads.
+func (l *lists) awaitLeader() (lead string, err error) {
+	err = cluster.Await(leaderTime, "the list service has a leader", func() bool {
+		lead = l.leader()
+		return lead != ""
+	})
+	return lead, err
+}
+
 // writeListConfig writes an instance's configuration: it reaches the others by links of its own.
 func writeListConfig(c *cluster.Cluster, name, dir, path string) error {
 	var b strings.Builder
--- a/internal/scale/reals.go
+++ b/internal/scale/reals.go
@@ -78,6 +78,19 @@
 	return err
 }
 
+// running is how many of the processes run.
+func (r *reals) running() (n int) {
+	if r.Cluster == nil {
+		return 0
+	}
+	for _, name := range r.Names() {
+		if r.Running(name) {
+			n++
+		}
+	}
+	return n
+}
+
 // ended reads what a process that has ended said last.
 func (r *reals) ended(name string) error {
 	err := r.read(name)
--- a/internal/scale/run.go
+++ b/internal/scale/run.go
@@ -169,6 +169,14 @@
 	}
 	run.Roles = f.roles(before, after)
 	run.Missing, run.Invalid = append(missing, notMeasured...), faults
+	for _, role := range []struct {
+		name string
+		runs int
+	}{{capacity.RoleHollow, len(after.hollow)}, {capacity.RoleReal, f.reals.running()}} {
+		if told := run.Roles[role.name].Count; told < role.runs {
+			run.Missing = append(run.Missing, fmt.Sprintf("the figures of %d of %d %s agents: they did not tell them at its beginning or its end", role.runs-told, role.runs, role.name))
+		}
+	}
 	if apart, err = f.settled(ctx, false); err != nil {
 		return false, err
 	}
@@ -199,7 +207,9 @@
 		return err
 	}
 	run.Changes = f.heard.count()
-	run.InForce = map[string]capacity.Times{"list": times}
+	if run.Changes > 0 {
+		run.InForce = map[string]capacity.Times{"list": times}
+	}
 	if missing > 0 {
 		run.Missing = append(run.Missing, fmt.Sprintf("in force: %d pairs of change and real agent, whose log left lines out", missing))
 	}
