--- a/internal/lab/run.go
+++ b/internal/lab/run.go
@@ -14,6 +14,7 @@
 	"os/exec"
 	"path/filepath"
 	"runtime"
+	"runtime/debug"
 	"slices"
 	"strconv"
 	"strings"
@@ -219,7 +220,7 @@
 		r.w.Stop()
 		r.procs.Close()
 	})
-	rec := &Record{Scenario: s.Name, Arm: a.Name, Seed: seed, Commit: revision(a.Commit, program, cfg.Repo), Machine: machine(), Length: s.Length}
+	rec := &Record{Scenario: s.Name, Arm: a.Name, Seed: seed, Commit: Revision(a.Commit, program, cfg.Repo), Machine: machine(), Length: s.Length}
 	if r.board != nil {
 		troubles.Add(1)
 		go func() {
@@ -250,16 +251,20 @@
 	return rec, nil
 }
 
-// revision is the commit of a program: the one it was built from here, what it says itself, or
-// that of the checkout.
-func revision(commit, program, repo string) string {
+// Revision is the commit of a program: the one it was built from here, what it says itself, or
+// that of the checkout; "-dirty" is after it where the tree was changed, "unknown" where nothing says.
+func Revision(commit, program, repo string) string {
 	if commit != "" {
 		return commit
 	}
 	if info, err := buildinfo.ReadFile(program); err == nil {
+		dirty := ""
+		if slices.ContainsFunc(info.Settings, func(s debug.BuildSetting) bool { return s.Key == "vcs.modified" && s.Value == "true" }) {
+			dirty = "-dirty"
+		}
 		for _, s := range info.Settings {
 			if s.Key == "vcs.revision" {
-				return s.Value[:min(len(s.Value), 12)]
+				return s.Value[:min(len(s.Value), 12)] + dirty
 			}
 		}
 	}
@@ -387,7 +392,19 @@
 
 // config is an agent's configuration (DEPLOY, "What an agent is told"; WIRE, "Start-up parameters").
 func (r *run) config(i int, a world.Agent, seed uint64) map[string]any {
-	s, ms := r.s, func(d time.Duration) float64 { return float64(d.Microseconds()) / 1000 }
+	return map[string]any{"name": a.Name, "listen": r.w.Address(i, world.ListenPort), "management": r.w.Address(i, world.ManagementPort),
+		"discovery": r.w.Address(i, world.DiscoveryPort), "seed": strconv.FormatUint(seed*1000+uint64(i), 16),
+		"limits": r.s.Limits(), "known": r.w.Known(a.Name), "settings": r.s.Settings(i, a.Zone, len(r.wcfg.Agents))}
+}
+
+// Limits are what an agent may take, as its configuration tells it.
+func (s *Scenario) Limits() map[string]any {
+	return map[string]any{"cores": s.Fleet.Cores, "memory_mb": s.Fleet.MemoryMB, "sockets": s.Fleet.Sockets}
+}
+
+// Settings are those of the deployment for the index-th of so many agents, in a zone by its index.
+func (s *Scenario) Settings(index, zone, agents int) map[string]any {
+	ms := func(d time.Duration) float64 { return float64(d.Microseconds()) / 1000 }
 	var classes, shapes []any
 	for _, k := range s.Classes {
 		group, key := k.Group, ms(k.KeyFor)
@@ -402,18 +419,15 @@
 		shapes = append(shapes, m.Kind)
 		warm = warm || m.KeyGain > 0
 	}
-	return map[string]any{"name": a.Name, "listen": r.w.Address(i, world.ListenPort), "management": r.w.Address(i, world.ManagementPort),
-		"discovery": r.w.Address(i, world.DiscoveryPort), "seed": strconv.FormatUint(seed*1000+uint64(i), 16),
-		"limits": map[string]any{"cores": s.Fleet.Cores, "memory_mb": s.Fleet.MemoryMB, "sockets": s.Fleet.Sockets}, "known": r.w.Known(a.Name),
-		"settings": map[string]any{"classes": classes, "clients": map[string]any{"marksRetry": true},
-			"contract": map[string]any{"answerSlackMs": 20, "askWithinMs": 10000, "coldFrom": s.Rules.ColdFrom, "coldMs": ms(s.Rules.ColdFor),
-				"drainGraceMs": ms(s.Rules.DrainGrace), "fallMultiple": s.Rules.FallMultiple, "tipAfterMs": ms(s.Rules.FallIn)},
-			"failureDomains": s.Fleet.Zones, "family": "mesh", "familyInfo": map[string]any{"warmKeys": warm}, "index": i,
-			"limits": map[string]any{"cancelling": true, "connectTimeoutMs": 250, "keepaliveMs": ms(r.wcfg.KeepAlive), "maxAttempts": 5,
-				"maxRetryAfterMs": 1500, "openCap": 20000, "parallelTries": false, "probing": true, "retryAfter": false},
-			"membershipMode": "pushed", "objectiveMix": map[string]any{"whole": 0.6, "worstClass": 0.35, "worstWindow": 0.05},
-			"prices":       map[string]any{"crossZone": 0.03, "lateFail": 0.05, "probe": 0.0082, "waste": 0.032},
-			"replicasOfMe": len(r.wcfg.Agents), "roundMs": 5, "shapes": shapes, "weights": "nominal", "worthBy": "work", "zone": a.Zone}}
+	return map[string]any{"classes": classes, "clients": map[string]any{"marksRetry": true},
+		"contract": map[string]any{"answerSlackMs": 20, "askWithinMs": 10000, "coldFrom": s.Rules.ColdFrom, "coldMs": ms(s.Rules.ColdFor),
+			"drainGraceMs": ms(s.Rules.DrainGrace), "fallMultiple": s.Rules.FallMultiple, "tipAfterMs": ms(s.Rules.FallIn)},
+		"failureDomains": s.Fleet.Zones, "family": "mesh", "familyInfo": map[string]any{"warmKeys": warm}, "index": index,
+		"limits": map[string]any{"cancelling": true, "connectTimeoutMs": 250, "keepaliveMs": ms(keepAlive), "maxAttempts": 5,
+			"maxRetryAfterMs": 1500, "openCap": 20000, "parallelTries": false, "probing": true, "retryAfter": false},
+		"membershipMode": "pushed", "objectiveMix": map[string]any{"whole": 0.6, "worstClass": 0.35, "worstWindow": 0.05},
+		"prices":       map[string]any{"crossZone": 0.03, "lateFail": 0.05, "probe": 0.0082, "waste": 0.032},
+		"replicasOfMe": agents, "roundMs": 5, "shapes": shapes, "weights": "nominal", "worthBy": "work", "zone": zone}
 }
 
 // start starts an agent and waits until it is ready.
--- /dev/null
+++ b/internal/scale/reals.go
@@ -0,0 +1,211 @@
+package scale
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strconv"
+	"sync"
+	"time"
+
+	"clayproxy.example/clayproxy/internal/cluster"
+	"clayproxy.example/clayproxy/internal/fleet"
+)
+
+// reals are the processes of the real agent, with what their logs say.
+type reals struct {
+	*cluster.Cluster
+	dir    string
+	heard  *tracker
+	client *http.Client
+
+	mu   sync.Mutex
+	logs map[string]*agentLog
+}
+
+// agentLog is how far an agent's log was read, and what its present process said last.
+type agentLog struct {
+	offset   int64
+	version  uint64 // of the list
+	servers  int    // entries of the list, by the module's view
+	unlogged int    // lines that the process left out
+	// What calls to discovery had taken at the last "figures" line, and that line's time.
+	listIn, listOut, listCalls float64
+	counted                    time.Time
+}
+
+// newReals makes the processes, whose configurations NAME.json are in dir; none runs yet.
+func newReals(program, dir string, names []string, heard *tracker) (*reals, error) {
+	r := &reals{dir: dir, heard: heard, logs: map[string]*agentLog{}, client: &http.Client{Timeout: time.Second,
+		Transport: &http.Transport{DisableKeepAlives: true}}}
+	for _, n := range names {
+		r.logs[n] = &agentLog{}
+	}
+	if len(names) == 0 {
+		return r, nil
+	}
+	var err error
+	r.Cluster, err = cluster.New(cluster.Config{Binary: program, Dir: dir, Names: names, Env: func(name string) []string {
+		return []string{"PROXY_CONFIG=" + filepath.Join(dir, name+".json"), "PROXY_NAME=", "PROXY_LISTEN=",
+			"PROXY_DISCOVERY=", "PROXY_MANAGEMENT=", "PROXY_LISTEN_FD=", "TMPDIR=" + dir}
+	}})
+	return r, err
+}
+
+// start starts an agent and waits until it takes clients at an address.
+func (r *reals) start(ctx context.Context, name, listen string) error {
+	if err := r.Start(name); err != nil {
+		return err
+	}
+	err := cluster.Await(agentTime, name+" is ready", func() bool {
+		if ctx.Err() != nil {
+			return true
+		}
+		resp, err := r.client.Get("http://" + listen + "/-/ready")
+		if err != nil {
+			return false
+		}
+		resp.Body.Close()
+		return resp.StatusCode == http.StatusOK
+	})
+	r.heard.begin(name)
+	return err
+}
+
+// running is how many of the processes run.
+func (r *reals) running() (n int) {
+	if r.Cluster == nil {
+		return 0
+	}
+	for _, name := range r.Names() {
+		if r.Running(name) {
+			n++
+		}
+	}
+	return n
+}
+
+// ended reads what a process that has ended said last.
+func (r *reals) ended(name string) error {
+	err := r.read(name)
+	r.heard.gone(name)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	l := r.logs[name]
+	*l = agentLog{offset: l.offset}
+	return err
+}
+
+// status is an agent's fleet view by its door.
+func (r *reals) status(ctx context.Context, door string) (*fleet.Status, error) {
+	ctx, cancel := context.WithTimeout(ctx, 3*time.Second)
+	defer cancel()
+	return fleet.Ask(ctx, door, "members=none&since=4611686018427387904")
+}
+
+// The lines of an agent's log that are read (README, "Reading the log"): "list", an answer of
+// discovery as it is taken over, and "figures".
+var (
+	timeOf     = regexp.MustCompile(`^time=(\S+) `)
+	listLine   = regexp.MustCompile(` msg=list .*\bto=(\d+)\b`)
+	figureLine = regexp.MustCompile(` msg=figures .*module="\{States:\[(\d+) (\d+) (\d+) (\d+)\].*\bunlogged:(\d+)\b.*\blistIn:(\d+) listOut:(\d+) listCalls:(\d+)`)
+)
+
+// read reads what an agent's log has beyond what was read of it.
+func (r *reals) read(name string) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	l := r.logs[name]
+	f, err := os.Open(filepath.Join(r.dir, name+".log"))
+	if err != nil {
+		return err
+	}
+	defer f.Close()
+	if _, err := f.Seek(l.offset, io.SeekStart); err != nil {
+		return err
+	}
+	for in := bufio.NewReader(f); ; {
+		line, err := in.ReadBytes('\n')
+		if err == io.EOF {
+			return nil // a line that is not whole yet is read again
+		}
+		if err != nil {
+			return err
+		}
+		l.offset += int64(len(line))
+		if err := r.take(name, l, bytes.TrimSuffix(line, []byte("\n"))); err != nil {
+			return fmt.Errorf("%s's log: %w", name, err)
+		}
+	}
+}
+
+// take takes one line; the caller holds mu.
+func (r *reals) take(name string, l *agentLog, line []byte) error {
+	list, counts := listLine.FindSubmatch(line), figureLine.FindSubmatch(line)
+	if list == nil && counts == nil {
+		return nil
+	}
+	stamp := timeOf.FindSubmatch(line)
+	if stamp == nil {
+		return fmt.Errorf("a line without a time: %s", line)
+	}
+	at, err := time.Parse(time.RFC3339Nano, string(stamp[1]))
+	if err != nil {
+		return err
+	}
+	if list != nil {
+		version, err := strconv.ParseUint(string(list[1]), 10, 64)
+		if err != nil {
+			return err
+		}
+		l.version = max(l.version, version)
+		r.heard.force(name, version, at)
+		return nil
+	}
+	var n [8]int
+	for i := range n {
+		if n[i], err = strconv.Atoi(string(counts[i+1])); err != nil {
+			return err
+		}
+	}
+	l.servers = n[0] + n[1] + n[2] + n[3] // by the module's states
+	if n[4] > l.unlogged {
+		r.heard.blinded(name)
+	}
+	l.unlogged = n[4]
+	l.listIn, l.listOut, l.listCalls, l.counted = float64(n[5]), float64(n[6]), float64(n[7]), at
+	return nil
+}
+
+// knows is what an agent's log has told.
+func (r *reals) knows(name string) agentLog {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return *r.logs[name]
+}
+
+// counted waits until an agent has written its counts after a time: it does so each second.
+func (r *reals) counted(ctx context.Context, name string, after time.Time) error {
+	for end := time.Now().Add(countTime); ; {
+		if err := r.read(name); err != nil || r.knows(name).counted.After(after) {
+			return err
+		}
+		if time.Now().After(end) {
+			return fmt.Errorf("%s has not written its counts for %v", name, countTime)
+		}
+		select {
+		case <-time.After(readEvery):
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+// An agent writes its counts each second (README, "Reading the log"), on a full machine later.
+const countTime, readEvery = 5 * time.Second, 20 * time.Millisecond
