Judge the sum that 1,500 agents send to a cold server, in the module's ramp test

Need: the contract's bound for a cold server holds for all agents together, and it was judged up to 300 of them; the size in two years is 1,500.

Each of the 14 cases is played with 1,500 agents too, over 15 servers, a hundred agents at each. What is judged is the same, by each server's own budget.

--- a/internal/policytest/ramp_test.go
+++ b/internal/policytest/ramp_test.go
@@ -369,12 +369,15 @@
 		}},
 	}
 	for _, c := range cases {
-		for _, agents := range []int{1, 3, 30, 300} {
+		for _, agents := range []int{1, 3, 30, 300, 1500} {
 			t.Run(fmt.Sprintf("%s, %d agents", c.name, agents), func(t *testing.T) {
 				t.Parallel()
 				servers := 12
-				if agents == 300 {
+				switch agents {
+				case 300:
 					servers = 30
+				case 1500: // a hundred at each, as 30 would take a minute under the race detector
+					servers = 15
 				}
 				d := newFleetDay(t, 1, agents, servers, c.load)
 				d.arrivals()
