--- /dev/null
+++ b/internal/fleet/bench_test.go
@@ -0,0 +1,100 @@
+package fleet
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/memberlist"
+)
+
+// benchSizes are the fleets, in members, by which the growth of what each look costs is measured.
+var benchSizes = []int{100, 200, 400, 800, 1500}
+
+// peopled is one process's part in a fleet of so many members, all alive in its list and its view.
+// Nothing of it runs by itself: memberlist neither probes nor gossips.
+func peopled(b *testing.B, members int) *Fleet {
+	b.Helper()
+	cfg := quick(memberName(0), freeAddr(b))
+	cfg.Size, cfg.Zone = members, "zone-0"
+	f, err := newFleet(cfg)
+	if err != nil {
+		b.Fatal(err)
+	}
+	if f.tr, err = newTransport(&f.cfg, f.log.std(), &f.count, f.tell, f.wordCounts); err != nil {
+		b.Fatal(err)
+	}
+	c := f.listConfig(f.tr)
+	c.ProbeInterval, c.GossipInterval, c.PushPullInterval = time.Hour, time.Hour, time.Hour
+	list, err := memberlist.Create(c)
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.Cleanup(func() { f.cancel(); list.Shutdown() })
+	f.list.Store(list)
+	f.tr.doubt = encodeMessage(msgPushPull, pushPullHeader{Nodes: members - 1})
+	for i := 1; i < members; i++ {
+		m := meta{Process: fmt.Sprintf("%016x", i), Zone: fmt.Sprintf("zone-%d", i%3), Version: "1"}
+		f.tr.doubt = append(f.tr.doubt, encodeMessage(0, pushNode{Name: memberName(i), Addr: []byte{127, 2, byte(i >> 8), byte(i)},
+			Port: 7946, Meta: m.bytes(), Incarnation: uint32(1000 + i), Vsn: []uint8{1, 5, 2, 0, 0, 0}})[1:]...)
+	}
+	if _, err := list.Join([]string{doubtPeer + "/" + f.cfg.Advertise}); err != nil {
+		b.Fatal(err)
+	}
+	v := f.snapshot(time.Now())
+	if v == nil || v.Present != members {
+		b.Fatalf("the list of %d members was read as %+v", members, v)
+	}
+	f.view.Store(v)
+	return f
+}
+
+func memberName(i int) string { return fmt.Sprintf("agent-%04d", i) }
+
+// BenchmarkSnapshot is one reading of the list: where nothing changed, where one member did, and where one
+// did and all the changes are there that are kept.
+func BenchmarkSnapshot(b *testing.B) {
+	for _, kept := range []struct {
+		name    string
+		changed bool
+		changes int
+	}{{"same", false, 0}, {"changed", true, 0}, {"changed-kept", true, keptChanges}} {
+		for _, n := range benchSizes {
+			b.Run(fmt.Sprintf("%s/%d", kept.name, n), func(b *testing.B) {
+				f := peopled(b, n)
+				was := *f.table.view
+				if kept.changed {
+					was.Members = append([]Member(nil), was.Members...)
+					was.Members[n/2].Incarnation--
+				}
+				f.table.changes = make([]Change, kept.changes)
+				now := time.Now()
+				b.ReportAllocs()
+				for b.Loop() {
+					f.table.view = &was
+					if !kept.changed || kept.changes == 0 {
+						f.table.changes = f.table.changes[:0]
+					}
+					if v := f.snapshot(now); (v != nil) != kept.changed {
+						b.Fatalf("changed: %v", v != nil)
+					}
+				}
+			})
+		}
+	}
+}
+
+// BenchmarkSuccessors is what each look of watch, four in a probe interval, has to find.
+func BenchmarkSuccessors(b *testing.B) {
+	for _, n := range benchSizes {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			f := peopled(b, n)
+			b.ReportAllocs()
+			for b.Loop() {
+				if got := f.successors(); len(got) != watched {
+					b.Fatalf("%d successors", len(got))
+				}
+			}
+		})
+	}
+}
