Find the three successors in one pass over the view, without memory

Symptom: each look of `watch`, four in a probe interval, took 807 us and 191 KB at 400 members and 2.7 ms and 895 KB at 1,500, whether or not anything had changed. Cause: it copied all members that are alive, sorted them by hash (hashing each name anew at each comparison) and kept three. Ruled out as the main part: the hash itself, which is still taken of each name at each look. Change: one pass keeps the nearest three and appends them to a slice that the caller brings. The definition by sorting stays as the test's, and they are compared on drawn fleets (names, states, each member's place and one outside); a second test holds that 1,500 members take no memory.

With a wrong sign of the distance, and with two in place of three, the comparison fails at once. go test -race ./internal/fleet/... ./internal/fleetlab/... passes (5.7 s and 107 s).

--- a/internal/fleet/bench_test.go
+++ b/internal/fleet/bench_test.go
@@ -89,9 +89,10 @@
 	for _, n := range benchSizes {
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
 			f := peopled(b, n)
+			var got []Member
 			b.ReportAllocs()
 			for b.Loop() {
-				if got := f.successors(); len(got) != watched {
+				if got = f.successors(got[:0]); len(got) != watched {
 					b.Fatalf("%d successors", len(got))
 				}
 			}
--- a/internal/fleet/watch.go
+++ b/internal/fleet/watch.go
@@ -27,6 +27,7 @@
 // watch keeps the connections to this member's successors.
 func (f *Fleet) watch() {
 	open := map[string]net.Conn{} // by process
+	want := make([]Member, 0, watched)
 	var mu sync.Mutex
 	look := time.NewTicker(ms(f.cfg.ProbeIntervalMs) / 4)
 	defer look.Stop()
@@ -45,7 +46,7 @@
 			return
 		case <-look.C:
 		}
-		want := f.successors()
+		want = f.successors(want[:0])
 		mu.Lock()
 		for process, c := range open {
 			if !slices.ContainsFunc(want, func(m Member) bool { return m.Process == process }) {
@@ -87,24 +88,35 @@
 	}
 }
 
-// successors are the members that this one watches: those whose hashed names follow its own.
-func (f *Fleet) successors() []Member {
-	v := f.view.Load()
-	own := xxhash.Sum64String(f.cfg.Name)
-	var there []Member
-	for _, m := range v.Members {
-		if m.State == Alive && m.Name != f.cfg.Name {
-			there = append(there, m)
-		}
+// successors are the members that this one watches, appended to into: those whose hashed names follow its
+// own, the next one first. It takes one pass and no memory, as each look asks for them.
+func (f *Fleet) successors(into []Member) []Member {
+	members, own := f.view.Load().Members, xxhash.Sum64String(f.cfg.Name)
+	var nearest [watched]struct {
+		after uint64 // by how much the hash follows this process's own, around the ring
+		index int
 	}
-	after := func(m Member) uint64 { return xxhash.Sum64String(m.Name) - own }
-	slices.SortFunc(there, func(a, b Member) int {
-		if after(a) < after(b) {
-			return -1
+	found := 0
+	for i := range members {
+		m := &members[i]
+		if m.State != Alive || m.Name == f.cfg.Name {
+			continue
+		}
+		after, at := xxhash.Sum64String(m.Name)-own, found
+		for at > 0 && after < nearest[at-1].after {
+			at--
 		}
-		return 1
-	})
-	return there[:min(watched, len(there))]
+		if at == watched {
+			continue
+		}
+		found = min(found+1, watched)
+		copy(nearest[at+1:found], nearest[at:])
+		nearest[at].after, nearest[at].index = after, i
+	}
+	for _, n := range nearest[:found] {
+		into = append(into, members[n.index])
+	}
+	return into
 }
 
 // openWatch opens a connection to a member and has it acknowledged.
--- /dev/null
+++ b/internal/fleet/watch_test.go
@@ -0,0 +1,64 @@
+package fleet
+
+import (
+	"slices"
+	"testing"
+
+	"github.com/cespare/xxhash/v2"
+	"pgregory.net/rapid"
+)
+
+// ring is what successors are by definition: of all others that are alive, in the order in which their
+// hashed names follow one's own, the first few.
+func ring(v *View, name string) []Member {
+	own := xxhash.Sum64String(name)
+	var there []Member
+	for _, m := range v.Members {
+		if m.State == Alive && m.Name != name {
+			there = append(there, m)
+		}
+	}
+	after := func(m Member) uint64 { return xxhash.Sum64String(m.Name) - own }
+	slices.SortFunc(there, func(a, b Member) int {
+		if after(a) < after(b) {
+			return -1
+		}
+		return 1
+	})
+	return there[:min(watched, len(there))]
+}
+
+// Every member of a drawn fleet, and one that is not in it, watches those that follow it on the ring.
+func TestSuccessorsAreTheNextOnTheRing(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		states := []State{Alive, Alive, Alive, Suspect, Dead, Left}
+		names := rapid.SliceOfNDistinct(rapid.StringMatching(`[a-z0-9-]{1,12}`), 0, 60, rapid.ID).Draw(t, "names")
+		var members []Member
+		for _, n := range names {
+			members = append(members, Member{Name: n, Process: n + "-1", State: rapid.SampledFrom(states).Draw(t, "state")})
+		}
+		var got []Member
+		for _, self := range append(names, "nobody") {
+			f := &Fleet{cfg: Config{Name: self}}
+			f.view.Store(&View{Members: members})
+			got = f.successors(got[:0])
+			if want := ring(f.View(), self); !slices.Equal(got, want) {
+				t.Fatalf("%s watches %v, the ring says %v", self, got, want)
+			}
+		}
+	})
+}
+
+// A look takes no memory, whatever the fleet's size.
+func TestSuccessorsTakeNoMemory(t *testing.T) {
+	f := &Fleet{cfg: Config{Name: memberName(7)}}
+	v := &View{}
+	for i := range 1500 {
+		v.Members = append(v.Members, Member{Name: memberName(i), State: Alive})
+	}
+	f.view.Store(v)
+	into := make([]Member, 0, watched)
+	if n := testing.AllocsPerRun(100, func() { into = f.successors(into[:0]) }); n != 0 || len(into) != watched {
+		t.Errorf("%v allocations for %d successors", n, len(into))
+	}
+}
