--- /dev/null
+++ b/internal/agent/hollow_test.go
@@ -0,0 +1,237 @@
+package agent
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+)
+
+// lockedBuffer may be written to by many.
+type lockedBuffer struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+func (b *lockedBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.b.Write(p)
+}
+
+func (b *lockedBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.b.String()
+}
+
+// hollowConfig is a configuration with a list known at version 1, as bytes.
+func hollowConfig(t *testing.T, d *fakeDiscovery, change func(map[string]any)) []byte {
+	t.Helper()
+	c := map[string]any{"name": "a1", "listen": "127.0.0.1:1", "discovery": d.Listener.Addr().String(), "seed": "7",
+		"limits": map[string]any{"cores": 1, "memory_mb": 192, "sockets": 1024}, "known": d.list,
+		"settings": json.RawMessage(strings.Replace(testSettings, "on_request", "pushed", 1))}
+	if change != nil {
+		change(c)
+	}
+	text, err := json.Marshal(c)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return text
+}
+
+// An agent without clients follows its list and its settings, shows its operators what it is, and
+// tells its hooks, all under its own logger and from its own address.
+func TestHollowAgent(t *testing.T) {
+	d := newDiscoveryServer(t, target("s-1", "127.0.0.1:1"))
+	from := make(chan string, 1000)
+	serve := d.Config.Handler
+	d.Config.Handler = http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		host, _, _ := net.SplitHostPort(req.RemoteAddr)
+		from <- host
+		serve.ServeHTTP(w, req)
+	})
+	cfg, err := ParseConfig(hollowConfig(t, d, nil))
+	if err != nil {
+		t.Fatal(err)
+	}
+	var log lockedBuffer
+	cfg.Log = slog.New(slog.NewTextHandler(&log, nil)).With("agent", "a1")
+	cfg.CallFrom = net.IPv4(127, 0, 0, 77)
+	lists, settings := make(chan uint64, 100), make(chan uint64, 100)
+	cfg.Hooks.OnList = func(v uint64) { lists <- v }
+	cfg.Hooks.OnSettings = func(v uint64) { settings <- v }
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	a, err := New(cfg, Listeners{Operators: ln})
+	if err != nil {
+		t.Fatal(err)
+	}
+	stop, end := context.WithCancel(context.Background())
+	defer end()
+	reloads, done := make(chan *Config), make(chan error, 1)
+	go func() { done <- a.Run(stop, reloads) }()
+	next := func(what string, from <-chan uint64, want uint64) {
+		t.Helper()
+		select {
+		case v := <-from:
+			if v != want {
+				t.Fatalf("%s %d in force, want %d", what, v, want)
+			}
+		case <-time.After(patience):
+			t.Fatalf("%s %d never in force", what, want)
+		}
+	}
+	next("list", lists, 1)
+	until(t, "it is ready", func() bool {
+		resp, err := testClient.Get("http://" + ln.Addr().String() + "/ops/readiness")
+		if err == nil {
+			resp.Body.Close()
+		}
+		return err == nil && resp.StatusCode == http.StatusOK
+	})
+	for version := uint64(2); version < 5; version++ {
+		d.set(target(fmt.Sprint("s-", version), "127.0.0.1:2"))
+		next("list", lists, version)
+	}
+	changed, err := ParseReload(hollowConfig(t, d, nil), cfg)
+	if err != nil {
+		t.Fatal(err)
+	}
+	reloads <- changed
+	next("settings", settings, 0)
+	s := a.Status()
+	if s.ListVersion != 4 || s.Servers != 4 || s.ListCalls < 4 || s.ListIn < 4*100 || s.ListOut < 4*50 || s.Fleet != nil {
+		t.Errorf("status %+v", s)
+	}
+	if host := <-from; host != "127.0.0.77" {
+		t.Errorf("discovery was called from %s", host)
+	}
+	end()
+	if err := <-done; err != nil {
+		t.Error(err)
+	}
+	for line := range strings.Lines(log.String()) {
+		if !strings.Contains(line, "agent=a1") {
+			t.Errorf("line without its agent: %s", line)
+		}
+	}
+	if text := log.String(); !strings.Contains(text, "msg=stopped") || !strings.Contains(text, " listCalls:") {
+		t.Errorf("log %s", text)
+	}
+	select {
+	case v := <-lists:
+		t.Errorf("list %d in force once more", v)
+	default:
+	}
+}
+
+// A killed agent answers nobody at once, with or without clients, also one that ends already.
+func TestKill(t *testing.T) {
+	b := newBackend(t, serving)
+	for name, stopped := range map[string]bool{"in service": false, "while it ends": true} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			d := newDiscoveryServer(t, target("s-1", b.addr))
+			cfg, err := ParseConfig(hollowConfig(t, d, nil))
+			if err != nil {
+				t.Fatal(err)
+			}
+			var ln Listeners
+			for _, l := range []*net.Listener{&ln.Clients, &ln.Operators} {
+				if *l, err = net.Listen("tcp", "127.0.0.1:0"); err != nil {
+					t.Fatal(err)
+				}
+			}
+			a, err := New(cfg, ln)
+			if err != nil {
+				t.Fatal(err)
+			}
+			done := make(chan error, 1)
+			stop, end := context.WithCancel(t.Context())
+			defer end()
+			go func() { done <- a.Run(stop, nil) }()
+			idle, err := net.Dial("tcp", ln.Clients.Addr().String())
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer idle.Close()
+			until(t, "it serves", func() bool {
+				resp, err := testClient.Do(newRequest(ln.Clients.Addr().String(), "read", ""))
+				if err == nil {
+					resp.Body.Close()
+				}
+				return err == nil && resp.StatusCode == http.StatusOK
+			})
+			if stopped {
+				end()
+				until(t, "it ends", func() bool {
+					a.front.mu.Lock()
+					defer a.front.mu.Unlock()
+					return a.front.ending
+				})
+			}
+			a.Kill()
+			if err := <-done; !errors.Is(err, ErrKilled) {
+				t.Errorf("Run returned %v", err)
+			}
+			idle.SetReadDeadline(time.Now().Add(patience))
+			if n, err := idle.Read(make([]byte, 100)); n > 0 || err == nil || errors.Is(err, os.ErrDeadlineExceeded) {
+				t.Errorf("a client's connection brought %d bytes, %v", n, err)
+			}
+			for _, l := range []net.Listener{ln.Clients, ln.Operators} {
+				if _, err := l.Accept(); !errors.Is(err, net.ErrClosed) {
+					t.Errorf("a listener is still open: %v", err)
+				}
+			}
+		})
+	}
+}
+
+// What New can't use, it says, and leaves the listeners to its caller.
+func TestNewSaysWhatItCannotUse(t *testing.T) {
+	cfg, err := ParseConfig(hollowConfig(t, newDiscoveryServer(t), nil))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := New(cfg, Listeners{Shared: true}); err == nil || !strings.Contains(err.Error(), "no listener to share") {
+		t.Errorf("a shared listener that is none: %v", err)
+	}
+}
+
+// Configurations read from bytes are held to what those of the file are.
+func TestParseConfig(t *testing.T) {
+	d := newDiscoveryServer(t)
+	now, err := ParseConfig(hollowConfig(t, d, func(c map[string]any) { c["management"] = "127.0.0.1:2" }))
+	if err != nil {
+		t.Fatal(err)
+	}
+	bad := hollowConfig(t, d, func(c map[string]any) { c["seed"] = "none" })
+	for text, want := range map[string]string{
+		"{":         "config: unexpected end of JSON input",
+		"{}":        "config: listen:",
+		string(bad): "config: seed:",
+	} {
+		if _, err := ParseConfig([]byte(text)); err == nil || !strings.HasPrefix(err.Error(), want) {
+			t.Errorf("%.40s: %v, want %q", text, err, want)
+		}
+	}
+	if _, err := ParseReload(hollowConfig(t, d, nil), now); err == nil || !strings.HasPrefix(err.Error(), "config: management: missing") {
+		t.Errorf("a key that went: %v", err)
+	}
+	if _, err := ParseReload(bad, now); err == nil {
+		t.Error("a bad seed is taken at a reload")
+	}
+}
