--- a/internal/agent/path_test.go
+++ b/internal/agent/path_test.go
@@ -47,7 +47,7 @@
 	for _, servers := range []int{10, 100, 1500} {
 		var p *twoWays
 		b.Run(fmt.Sprintf("servers=%d", servers), func(sub *testing.B) {
-			if p == nil { // once for all sizes of b.N
+			if p == nil { // once for all sizes of b.N and all of -count: repeats share their agent
 				p = newTwoWays(b, servers)
 				p.play(b, min(240+5*servers, 1800)) // 15 s at the most: then as many connections end as begin
 			}
--- a/internal/policytest/decision_test.go
+++ b/internal/policytest/decision_test.go
@@ -25,7 +25,7 @@
 		for _, state := range []string{"calm", "crowded", "demoted"} {
 			var d *decider
 			b.Run(fmt.Sprintf("servers=%d/state=%s", servers, state), func(b *testing.B) {
-				if d == nil { // once for all sizes of b.N
+				if d == nil { // once for all sizes of b.N and all of -count
 					d = newDecider(b, servers)
 				}
 				d.TB, d.ticks, d.atOnce = b, 0, 0
