Encode an answer of the list once for all watches that get the same

Need: 500 agents of an instance that come without a list each had 1,500 servers encoded anew. The servers' part of an answer is kept encoded until the next change, 64 answers at most; settings are put behind it. The changes since a version are found by halving, not by walking all that are kept.

The state machine's test reads shared answers between changes now, and fails if they outlive one.

--- a/internal/listsvc/http.go
+++ b/internal/listsvc/http.go
@@ -76,8 +76,9 @@
 			return
 		}
 		out, wake, settings := n.list.since(c.query)
-		if c.full || out.Full || out.Version > c.version || out.Settings != nil || last {
-			writeJSON(w, http.StatusOK, out)
+		if out.news || last {
+			w.Header().Set("Content-Type", "application/json")
+			w.Write(out.body)
 			return
 		}
 		select {
--- a/internal/listsvc/list.go
+++ b/internal/listsvc/list.go
@@ -1,6 +1,8 @@
 package listsvc
 
 import (
+	"bytes"
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -48,13 +50,17 @@
 	keep    int
 	wake    chan struct{} // closed and replaced at each change of a server
 
+	// answers are since's of the present version that were encoded, for who asks the same.
+	answersMu sync.Mutex // taken with mu held; a change replaces answers with mu held alone
+	answers   map[answerKey][]byte
+
 	settings      map[string][]SettingsVersion
 	settingsWakes [256]chan struct{} // by the hash of the service's name, as wake
 }
 
 func newList(keep int) *list {
 	l := &list{servers: map[string]targets.Target{}, setAt: map[string]uint64{}, keep: keep, wake: make(chan struct{}),
-		settings: map[string][]SettingsVersion{}}
+		answers: map[answerKey][]byte{}, settings: map[string][]SettingsVersion{}}
 	for i := range l.settingsWakes {
 		l.settingsWakes[i] = make(chan struct{})
 	}
@@ -99,8 +105,10 @@
 	return l.version
 }
 
-// wakeWatches wakes every watch that waits for a change of a server; the caller holds mu.
+// wakeWatches wakes every watch that waits for a change of a server, and forgets what was
+// encoded before it; the caller holds mu.
 func (l *list) wakeWatches() {
+	l.answers = map[answerKey][]byte{}
 	close(l.wake)
 	l.wake = make(chan struct{})
 }
@@ -114,38 +122,84 @@
 	have    uint64
 }
 
+// answerKey is what the servers' part of an answer depends on, besides the list's version.
+type answerKey struct {
+	version uint64 // the query's; 0 for a whole list
+	full    bool
+}
+
+// keepAnswers bounds the encoded answers kept: the whole list, and the changes since the
+// versions that most watches have.
+const keepAnswers = 64
+
+// reply is the answer to a query, encoded: a targets.List and a line feed.
+type reply struct {
+	news bool // a change or the whole list, or newer settings
+	body []byte
+}
+
 // since is the answer to a query: the changes after its version, each server once in its
 // last form, or the whole list where changes after it are no longer all kept; and newer
 // settings. It also gives the channels that close at the next change of a server and of the
 // service's settings (nil without a service; it may close for another's, see settingsWake).
-func (l *list) since(q query) (out targets.List, wake, settings <-chan struct{}) {
+func (l *list) since(q query) (out reply, wake, settings <-chan struct{}) {
 	l.mu.RLock()
 	defer l.mu.RUnlock()
-	out = l.changesAfter(q.version, q.full)
-	if q.service != "" {
-		out.Settings, settings = l.newerSettings(q.service, q.have), *l.settingsWake(q.service)
+	key := answerKey{version: q.version}
+	if q.full || q.version < l.floor {
+		key = answerKey{full: true}
+	}
+	out = reply{news: key.full || key.version < l.version, body: l.encoded(key)}
+	if q.service == "" {
+		return out, l.wake, nil
+	}
+	if newer := l.newerSettings(q.service, q.have); newer != nil {
+		text, _ := json.Marshal(newer)
+		// They are the last field of a targets.List.
+		servers := bytes.TrimSuffix(out.body, []byte("}\n"))
+		out = reply{news: true, body: slices.Concat(servers, []byte(`,"settings":`), text, []byte("}\n"))}
 	}
-	return out, l.wake, settings
+	return out, l.wake, *l.settingsWake(q.service)
+}
+
+// encoded is the servers' part of an answer, encoded once for all that ask the same before
+// the next change; the caller holds mu.
+func (l *list) encoded(key answerKey) []byte {
+	if !key.full && key.version >= l.version {
+		return encode(l.changesAfter(key.version, false)) // no more than a version
+	}
+	l.answersMu.Lock()
+	defer l.answersMu.Unlock()
+	body, ok := l.answers[key]
+	if !ok {
+		body = encode(l.changesAfter(key.version, key.full))
+		if len(l.answers) < keepAnswers {
+			l.answers[key] = body
+		}
+	}
+	return body
+}
+
+func encode(out targets.List) []byte {
+	body, _ := json.Marshal(out) // a list of finite numbers: check lets no other in
+	return append(body, '\n')
 }
 
 // changesAfter is the part of since's answer that is the servers'; the caller holds mu.
 func (l *list) changesAfter(version uint64, full bool) targets.List {
+	if full {
+		return targets.List{Version: l.version, Full: true, Servers: l.all()}
+	}
 	out := targets.List{Version: max(l.version, version), Servers: []targets.Target{}}
-	if full || version < l.floor {
-		out.Version, out.Full, out.Servers = l.version, true, l.all()
-	} else {
-		last := map[string]int{}
-		for _, c := range l.changes {
-			if c.Index <= version {
-				continue
-			}
-			if i, ok := last[c.Server.ID]; ok {
-				out.Servers[i] = c.Server
-				continue
-			}
-			last[c.Server.ID] = len(out.Servers)
-			out.Servers = append(out.Servers, c.Server)
+	first, _ := slices.BinarySearchFunc(l.changes, version+1, func(c change, v uint64) int { return cmp.Compare(c.Index, v) })
+	last := map[string]int{}
+	for _, c := range l.changes[first:] {
+		if i, ok := last[c.Server.ID]; ok {
+			out.Servers[i] = c.Server
+			continue
 		}
+		last[c.Server.ID] = len(out.Servers)
+		out.Servers = append(out.Servers, c.Server)
 	}
 	slices.SortFunc(out.Servers, byID)
 	return out
--- a/internal/listsvc/settings_test.go
+++ b/internal/listsvc/settings_test.go
@@ -12,6 +12,8 @@
 
 	"github.com/hashicorp/raft"
 	"pgregory.net/rapid"
+
+	"clayproxy.example/clayproxy/internal/targets"
 )
 
 // settingsText is a text that agents take; mark sets it apart from others.
@@ -45,17 +47,23 @@
 }
 
 // TestSettingsStateMachine holds random writes, of two writers that may name the version
-// they replace, and snapshots between them against a plain model: versions only grow, a
-// repeat answers its version, a write over another's is refused, the last 20 are kept, and a
-// watch of servers sees nothing of it.
+// they replace, and snapshots and a server's changes between them against a plain model:
+// versions only grow, a repeat answers its version, a write over another's is refused, the
+// last 20 are kept, and watches of servers see those alone, from answers that they share.
 func TestSettingsStateMachine(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		l, model := newList(8), map[string][]SettingsVersion{}
+		servers := uint64(0)                // the version of their last change
 		seen := []map[string]uint64{{}, {}} // what each writer last knew of a service
 		for index := uint64(1); index <= uint64(rapid.IntRange(1, 120).Draw(t, "writes")); index++ {
 			if rapid.IntRange(0, 9).Draw(t, "snapshot") == 0 {
 				l = restored(t, l)
 			}
+			if rapid.IntRange(0, 4).Draw(t, "server") == 0 {
+				data, _ := json.Marshal(command{Op: "put", Server: targets.Target{ID: "s", Weight: float64(index)}})
+				servers = l.Apply(&raft.Log{Index: index, Data: data}).(uint64)
+				continue
+			}
 			service := rapid.SampledFrom([]string{"a", "b"}).Draw(t, "service")
 			know := seen[rapid.IntRange(0, 1).Draw(t, "writer")]
 			c := command{Op: "settings", Service: service, Text: settingsText(rapid.IntRange(1, 40).Draw(t, "text")), AtMs: int64(index)}
@@ -90,8 +98,13 @@
 			if a, b := fmt.Sprint(l.history(service)), fmt.Sprint(model[service]); a != b {
 				t.Fatalf("after write %d kept %s, want %s", index, a, b)
 			}
-			if out, _, _ := l.since(query{version: 0}); out.Version != 0 || len(out.Servers) != 0 || out.Settings != nil {
-				t.Fatalf("a watch of servers sees %+v", out)
+			for _, q := range []query{{full: true}, {version: servers}, {version: servers / 2}} {
+				out, _, _ := l.since(q)
+				var got targets.List
+				if err := json.Unmarshal(out.body, &got); err != nil || got.Version != servers || got.Settings != nil ||
+					out.news != (q.full || q.version < servers) || len(got.Servers) > 0 && got.Servers[0].Weight != float64(servers) {
+					t.Fatalf("a watch of servers, %+v, gets %s (%v) at version %d", q, out.body, err, servers)
+				}
 			}
 		}
 	})
