Take settings that the list service tells, at several addresses of discovery

A change of settings reached an agent by its file and SIGHUP alone, and an agent knew one address of discovery. With a section "control" it has further addresses and takes the settings of a service: it begins at the address that a hash of its name picks, goes on after a jittered wait where a call fails and after a full-jitter backoff once all have failed, and stays where it is answered. A version never goes back.

--- /dev/null
+++ b/internal/agent/addresses.go
@@ -0,0 +1,98 @@
+package agent
+
+import (
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+)
+
+// With the section "control" the agent keeps its watch by itself, at one of several addresses. A
+// change is known 11 s after its acknowledgement at the latest, whatever three of four addresses do
+// or one fails of itself:
+//   - a call that stands when its instance falls silent, is paused or cut off is given up after
+//     watchWait + callGrace = 2.25 s; one whose connection does not come up, after callGrace; one that is
+//     refused or reset, at once;
+//   - the next address is asked moveMost = 0.5 s later at the most, and the bound of callsPerS adds 0.1 s;
+//   - so each silent address costs 2.85 s, and the fourth is asked after 3 x 2.85 = 8.55 s and answers at
+//     once, 2.45 s before the bound. With the one that fell silent among others that answer: 2.85 s.
+//
+// Where all have failed, the wait before the next turn is up to turnMost = 4 s: once they are back and
+// have a leader, an agent has asked one of them 4.1 s later, or 2.85 s more for each that stays silent.
+const (
+	// moveMost bounds the wait before the next address is asked: agents that hung on one instance
+	// must not come to the others in step.
+	moveMost = 500 * time.Millisecond
+	// turnFirst and turnMost bound the wait, drawn evenly from nothing up to a bound that doubles, before
+	// the next turn once all addresses have failed in one.
+	turnFirst, turnMost = time.Second, 4 * time.Second
+)
+
+// order is all addresses in an agent's own order, by a hash of its name: the agents begin spread over
+// the addresses, and those of one that fails go on to different ones. An address is in the place that
+// its own hash with the name gives it, so that another that comes or goes moves few agents.
+func order(addrs []string, name string) []string {
+	out := make([]string, 0, len(addrs))
+	for _, addr := range addrs {
+		at := len(out)
+		for i, o := range out {
+			if mix(hashString(name+"\x00"+addr)) < mix(hashString(name+"\x00"+o)) {
+				at = i
+				break
+			}
+		}
+		out = append(out[:at:at], append([]string{addr}, out[at:]...)...)
+	}
+	return out
+}
+
+// mix spreads what differs in a hash's low bits over all of it (the finalizer of MurmurHash3).
+func mix(h uint64) uint64 {
+	h = (h ^ h>>33) * 0xff51afd7ed558ccd
+	h = (h ^ h>>33) * 0xc4ceb9fe1a85ec53
+	return h ^ h>>33
+}
+
+// ring is the addresses of a place, of which one is asked until a call there fails.
+type ring struct {
+	addrs []string
+	at    atomic.Uint32
+}
+
+// now is the address to ask, and which that is.
+func (r *ring) now() (addr string, at uint32) {
+	at = r.at.Load()
+	return r.addrs[int(at)%len(r.addrs)], at
+}
+
+// failed goes on to the next address, unless another call has done so already.
+func (r *ring) failed(at uint32) { r.at.CompareAndSwap(at, at+1) }
+
+// turn says how long a watch waits after a failure; it belongs to the watch.
+type turn struct {
+	backoff  backoff.ExponentialBackOff
+	failures int
+}
+
+func newTurn() *turn {
+	t := &turn{backoff: backoff.ExponentialBackOff{InitialInterval: turnFirst / 2, MaxInterval: turnMost / 2,
+		RandomizationFactor: 1, Multiplier: 2}} // so the wait is drawn from nothing to twice the interval
+	t.backoff.Reset()
+	return t
+}
+
+// wait is the time from a failure to the next call, where so many addresses are asked in turn.
+func (t *turn) wait(addrs int) time.Duration {
+	if t.failures++; t.failures < addrs {
+		return rand.N(moveMost)
+	}
+	t.failures = 0
+	return t.backoff.NextBackOff()
+}
+
+// answered begins anew, as after the start.
+func (t *turn) answered() {
+	t.failures = 0
+	t.backoff.Reset()
+}
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"clayproxy.example/clayproxy/internal/fleet"
+	"clayproxy.example/clayproxy/internal/targets"
 )
 
 // Listeners are what one agent listens on.
@@ -36,10 +37,13 @@
 	stop    context.CancelFunc // of the loop, and of all that has its context
 	ended   chan struct{}      // closed once the loop has
 	usable  chan struct{}      // closed once a backend may be sent to
-	view    atomic.Pointer[fleet.Fleet]
-	door    *management
-	killed  context.Context
-	kill    context.CancelFunc
+	// told takes settings that the list service told, until unserved is closed.
+	told     chan handover
+	unserved chan struct{}
+	view     atomic.Pointer[fleet.Fleet]
+	door     *management
+	killed   context.Context
+	kill     context.CancelFunc
 }
 
 // ErrKilled is what Run returns after Kill.
@@ -47,7 +51,8 @@
 
 // Run serves until stop is done, then ends in order. It returns nil when every
 // request that was held has been answered. Each configuration that comes on reloads
-// replaces the settings and the address of discovery; the rest takes effect at a start only.
+// replaces the settings, unless the list service has told others, and the addresses of discovery; the
+// rest takes effect at a start only.
 func Run(stop context.Context, cfg *Config, ln Listeners, reloads <-chan *Config) error {
 	return run(stop, cfg, ln, reloads, func(*front, *loop) {})
 }
@@ -71,7 +76,8 @@
 		}
 		ln.Clients = newNoClients()
 	}
-	a := &Agent{cfg: cfg, ln: ln, front: newFront(cfg), ended: make(chan struct{}), usable: make(chan struct{})}
+	a := &Agent{cfg: cfg, ln: ln, front: newFront(cfg), ended: make(chan struct{}), usable: make(chan struct{}),
+		told: make(chan handover), unserved: make(chan struct{})}
 	ctx, stop := context.WithCancel(context.Background())
 	a.stop = stop
 	var err error
@@ -79,6 +85,9 @@
 		stop()
 		return nil, fmt.Errorf("agent: %w", err)
 	}
+	if w := a.loop.disc.settings; w != nil {
+		w.take = a.take
+	}
 	a.front.loop = a.loop
 	a.clients = newClientListener(ln.Clients, a.front.conns.slots)
 	a.killed, a.kill = context.WithCancel(context.Background())
@@ -128,6 +137,7 @@
 
 // serve serves until stop is done, and tells how long requests are held from then on.
 func (a *Agent) serve(stop context.Context, reloads <-chan *Config, share *shares) (held time.Duration, err error) {
+	defer close(a.unserved)
 	failed := make(chan error, 2)
 	if a.ln.Operators != nil {
 		go func() { failed <- a.door.serve(a.ln.Operators) }()
@@ -149,7 +159,7 @@
 		waited = time.After(firstListWait)
 	}
 	usable := a.usable
-	held = a.cfg.heldFor()
+	force := &inForce{cfg: a.cfg, front: a.front, loop: a.loop, held: a.cfg.heldFor()}
 	for {
 		select {
 		case <-usable:
@@ -168,17 +178,36 @@
 			}
 			return 0, err
 		case c := <-reloads:
-			held = max(held, c.heldFor()) // what is open keeps its old deadline
-			a.front.retune(c)
-			a.loop.post(func() { a.loop.reload(c) })
+			force.reload(c)
+		case h := <-a.told:
+			force.come(h)
 		case <-a.killed.Done():
 			return 0, ErrKilled
 		case <-stop.Done():
-			return held, nil
+			return force.held, nil
 		}
 	}
 }
 
+// take hands settings that the list service told to serve, and returns once they are in force. An
+// error is why they are not: errNotServing once nothing is taken over any more.
+func (a *Agent) take(ctx context.Context, s *targets.Settings) error {
+	h := handover{settings: s, done: make(chan error, 1)}
+	select {
+	case a.told <- h:
+	case <-a.unserved:
+		return errNotServing
+	case <-ctx.Done():
+		return errNotServing
+	}
+	select {
+	case err := <-h.done:
+		return err
+	case <-ctx.Done():
+		return errNotServing
+	}
+}
+
 // Kill ends the agent as SIGKILL would: its sockets are closed at once, and nothing is told to
 // anybody. It does not wait; Run returns once all has ended. It may be called at any time.
 func (a *Agent) Kill() { a.kill() }
@@ -219,7 +248,8 @@
 func (a *Agent) Status() Status {
 	n, l := &a.loop.disc.count, &a.loop.shown
 	s := Status{ListVersion: l.version.Load(), Servers: int(l.servers.Load()),
-		ListIn: n.in.Load(), ListOut: n.out.Load(), ListCalls: n.calls.Load()}
+		SettingsVersion: l.settings.Load(),
+		ListIn:          n.in.Load(), ListOut: n.out.Load(), ListCalls: n.calls.Load()}
 	if view := a.view.Load(); view != nil {
 		status := view.Status(math.MaxUint64)
 		s.Fleet = &status
--- a/internal/agent/config.go
+++ b/internal/agent/config.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"log/slog"
 	"maps"
@@ -13,8 +14,7 @@
 
 	"clayproxy.example/clayproxy/internal/events"
 	"clayproxy.example/clayproxy/internal/fleet"
-	"clayproxy.example/clayproxy/internal/wire"
-	"clayproxy.example/clayproxy/policy"
+	"clayproxy.example/clayproxy/internal/targets"
 )
 
 // Config is what the platform tells one agent, validated.
@@ -34,6 +34,8 @@
 	Kinds      []string
 	// Fleet is how this agent and the others keep a view of each other; nil: they do not.
 	Fleet *fleet.Config
+	// Control is what the list service tells beside the list, and where; nil: nothing.
+	Control *Control
 
 	// What follows is no part of the file: who runs the agent sets it, before the start.
 
@@ -44,7 +46,8 @@
 	// CallFrom is the address that calls to discovery come from; nil: the system's choice.
 	CallFrom net.IP
 
-	text map[string]any // the file, to compare the next with
+	text map[string]any    // the file, to compare the next with
+	told *targets.Settings // those in force, where the list service told them
 }
 
 // Hooks are called when something has happened, each where it is not nil, from goroutines of the
@@ -54,7 +57,7 @@
 	// too, if it has one, and of two answers of one version the first.
 	OnList func(version uint64)
 	// OnSettings is told when other settings are in force, and their version: 0 for those that a
-	// reload brought, as a file has none.
+	// file brought, as it has none.
 	OnSettings func(version uint64)
 	// OnMemoryLimit is told the bytes that the process should keep within from now on, where it
 	// shares its limits with another.
@@ -82,6 +85,7 @@
 	} `json:"limits"`
 	Known    List            `json:"known"`
 	Fleet    json.RawMessage `json:"fleet"`
+	Control  json.RawMessage `json:"control"`
 	Settings json.RawMessage `json:"settings"`
 
 	text map[string]any // all of it
@@ -254,20 +258,16 @@
 	if len(f.Settings) == 0 {
 		return nil, fmt.Errorf("config: settings: none given")
 	}
-	if c.Settings, err = wire.ParseSettings(f.Settings); err != nil {
+	if err := c.takeSettings(f.Settings); err != nil {
 		return nil, fmt.Errorf("config: %w", err)
 	}
-	// The module knows zones and kinds by number only; discovery names them.
-	var names struct {
-		Zones []string `json:"failureDomains"`
-		Kinds []string `json:"shapes"`
-	}
-	if err := json.Unmarshal(f.Settings, &names); err != nil {
-		return nil, fmt.Errorf("config: settings: %w", err)
-	}
-	c.Zones, c.Kinds = names.Zones, names.Kinds
-	if _, err := policy.New(c.Settings, c.Seed); err != nil {
-		return nil, fmt.Errorf("config: %w", err)
+	if len(f.Control) > 0 {
+		if c.Control, err = parseControl(f.Control); err != nil {
+			return nil, fmt.Errorf("config: %w", err)
+		}
+		if c.Name == "" {
+			return nil, errors.New("config: name: none given, which control needs")
+		}
 	}
 	if len(f.Fleet) > 0 {
 		if c.Fleet, err = fleet.Parse(f.Fleet); err != nil {
--- a/internal/agent/discovery.go
+++ b/internal/agent/discovery.go
@@ -55,6 +55,11 @@
 	client *http.Client
 	limit  *rate.Limiter
 	told   func(news)
+	// name is the agent's, and turn how long the watch waits after a failure; nil: as with one address.
+	name string
+	turn *turn
+	// settings is what the watch tells and asks of settings; nil: nothing.
+	settings *settingsWatch
 	// from is the address that calls come from; nil: the system's choice.
 	from  net.IP
 	count callCount
@@ -103,14 +108,17 @@
 	err  error
 }
 
-// place is one address of discovery; left is done once there is another.
+// place is where discovery is, at one address or at several that tell one list; left is done once
+// it is elsewhere.
 type place struct {
-	url   string
+	ring
 	left  context.Context
 	leave context.CancelFunc
 	// version is what its watch has reached, by its own count; 0: all is still to be asked for.
 	// It belongs to the watch, of which there is one at a time.
 	version uint64
+	// past counts answers from the past, one after the other, of the watch.
+	past int
 }
 
 // errMoved ends a call to an address that discovery has left, errPast one whose answer is older
@@ -120,15 +128,15 @@
 	errPast  = errors.New("discovery: answered with a version from the past")
 )
 
-func newPlace(addr string, version uint64) *place {
+func newPlace(version uint64, addrs ...string) *place {
 	left, leave := context.WithCancel(context.Background())
-	return &place{url: "http://" + addr + "/api/targets", left: left, leave: leave, version: version}
+	return &place{ring: ring{addrs: addrs}, left: left, leave: leave, version: version}
 }
 
 // newDiscovery makes the calls to addr, where version is known already.
 func newDiscovery(addr string, version uint64, told func(news)) *discovery {
 	d := &discovery{
-		place: newPlace(addr, version),
+		place: newPlace(version, addr),
 		limit: rate.NewLimiter(callsPerS, callBurst),
 		told:  told,
 		conns: map[*countedConn]bool{},
@@ -171,13 +179,24 @@
 	}
 }
 
+// control has the watch go round all addresses that a configuration's section "control" names, where
+// version is known already, and ask for the settings of its service.
+func (d *discovery) control(cfg *Config, version uint64) {
+	d.name, d.turn = cfg.Name, newTurn()
+	d.place = newPlace(version, order(cfg.addresses(), d.name)...)
+	if cfg.Control.Service != "" {
+		d.settings = &settingsWatch{service: cfg.Control.Service, agent: cfg.Name}
+	}
+}
+
 // move takes discovery to be at another address: calls that are out are made again
 // there, and it is asked for all it has, as it may count versions of its own. The old
-// address closes what stays open, so nothing is kept.
-func (d *discovery) move(addr string) {
+// address closes what stays open, so nothing is kept. Of several addresses the first to be
+// asked goes by the agent's name.
+func (d *discovery) move(addrs ...string) {
 	d.mu.Lock()
 	old := d.place
-	d.place = newPlace(addr, 0)
+	d.place = newPlace(0, order(addrs, d.name)...)
 	d.mu.Unlock()
 	old.leave()
 	d.client.CloseIdleConnections()
@@ -192,11 +211,19 @@
 // follow keeps a watch until ctx ends.
 func (d *discovery) follow(ctx context.Context) {
 	for wait := followFirst; ctx.Err() == nil; wait = min(2*wait, followMost) {
-		if answered := d.watch(ctx); answered {
+		answered := d.watch(ctx)
+		if answered {
 			wait = followFirst
 		}
+		pause := wait/2 + rand.N(wait/2)
+		if d.turn != nil {
+			if answered {
+				d.turn.answered()
+			}
+			pause = d.turn.wait(len(d.at().addrs))
+		}
 		select {
-		case <-time.After(wait/2 + rand.N(wait/2)):
+		case <-time.After(pause):
 		case <-ctx.Done():
 		}
 	}
@@ -210,11 +237,8 @@
 		at, done := d.at(), make(chan news, 1)
 		from := at.version
 		go func() {
-			l, err := d.get(ctx, at, fmt.Sprintf("?index=%d&wait=%d", from, watchWait.Milliseconds()),
-				watchWait+callGrace)
-			if err == nil && l.Version < from {
-				l, err = nil, errPast
-			}
+			l, err := d.get(ctx, at, fmt.Sprintf("?index=%d&wait=%d%s", from, watchWait.Milliseconds(), d.settings.query()),
+				watchWait+callGrace, from)
 			done <- news{from: at, list: l, watch: true, anew: from == 0, err: err}
 		}()
 		return done
@@ -228,44 +252,60 @@
 		case ctx.Err() != nil:
 			return answered
 		case errors.Is(n.err, errPast):
-			// Started again from less, perhaps: the next watch asks for all it has.
-			n.from.version = 0
+			// Started again from less, perhaps: the next watch asks for all it has. Of several
+			// addresses one may have less for a time.
+			if n.from.past++; n.from.past >= len(n.from.addrs) {
+				n.from.version, n.from.past = 0, 0
+			}
 		}
 		if n.err != nil {
 			d.told(n)
 			return answered
 		}
-		n.from.version = n.list.Version
-		next = call()
+		n.from.version, n.from.past = n.list.Version, 0
+		settings := n.list.Settings
+		if settings == nil {
+			next = call()
+		}
 		// An empty answer says nothing, but the first is the answer to the call.
 		if !answered || n.anew || n.list.Full || len(n.list.Servers) > 0 {
 			d.told(n)
 		}
 		answered = true
+		if settings != nil { // the next call tells what has become of them
+			d.settings.come(ctx, settings)
+			next = call()
+		}
 	}
 }
 
 // fetch asks for the whole list once.
 func (d *discovery) fetch(ctx context.Context) {
 	at := d.at()
-	l, err := d.get(ctx, at, "", 2*callGrace)
+	l, err := d.get(ctx, at, "", 2*callGrace, 0)
 	if errors.Is(err, errMoved) {
 		at = d.at()
-		l, err = d.get(ctx, at, "", 2*callGrace)
+		l, err = d.get(ctx, at, "", 2*callGrace, 0)
 	}
 	if ctx.Err() == nil {
 		d.told(news{from: at, list: l, err: err})
 	}
 }
 
-func (d *discovery) get(ctx context.Context, at *place, query string, within time.Duration) (*List, error) {
+// get makes one call, and takes no answer that is older than from.
+func (d *discovery) get(ctx context.Context, at *place, query string, within time.Duration, from uint64) (*List, error) {
 	if err := d.limit.Wait(ctx); err != nil {
 		return nil, fmt.Errorf("discovery: %w", err)
 	}
 	ctx, cancel := context.WithTimeout(ctx, within)
 	defer cancel()
 	defer context.AfterFunc(at.left, cancel)()
-	l, err := d.call(ctx, at.url+query)
+	addr, which := at.now()
+	l, err := d.call(ctx, "http://"+addr+"/api/targets"+query)
+	if err == nil && l.Version < from {
+		at.failed(which)
+		return nil, errPast
+	}
 	if err == nil {
 		return l, nil
 	}
@@ -274,6 +314,9 @@
 	if at.left.Err() != nil {
 		return nil, errMoved
 	}
+	if at.failed(which); len(at.addrs) > 1 {
+		err = fmt.Errorf("%s: %w", addr, err)
+	}
 	return nil, err
 }
 
@@ -301,6 +344,8 @@
 		Version *uint64
 		Full    bool
 		Servers []Target
+		// Settings are for who asks for them alone.
+		Settings json.RawMessage
 	}
 	if err := json.Unmarshal(text, &l); err != nil {
 		return nil, fmt.Errorf("discovery: %w", err)
@@ -308,7 +353,16 @@
 	if l.Version == nil || l.Full && l.Servers == nil {
 		return nil, errors.New("discovery: answered with no list")
 	}
-	return &List{Version: *l.Version, Full: l.Full, Servers: l.Servers}, nil
+	list := &List{Version: *l.Version, Full: l.Full, Servers: l.Servers}
+	if d.settings != nil && len(l.Settings) > 0 {
+		if err := json.Unmarshal(l.Settings, &list.Settings); err != nil {
+			return nil, fmt.Errorf("discovery: settings: %w", err)
+		}
+		if s := list.Settings; s != nil && s.Service != d.settings.service {
+			return nil, fmt.Errorf("discovery: answered with the settings of %.40q", s.Service)
+		}
+	}
+	return list, nil
 }
 
 // table holds the backends that discovery listed, by id and by the module's
--- a/internal/agent/loop.go
+++ b/internal/agent/loop.go
@@ -10,6 +10,7 @@
 	"log/slog"
 	"net/http"
 	"net/url"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -79,6 +80,9 @@
 	// lists counts the answers of discovery, lines what they listed, and unlisted the
 	// calls that failed: over all agents, the load that discovery bears.
 	lists, lines, unlisted int
+	// settings counts settings of the list service that were taken over, and settingsRefused those
+	// that could not be.
+	settings, settingsRefused int
 	// unlogged counts the lines that the log's bound left out.
 	unlogged int
 	// listIn and listOut count the bytes of calls to discovery, heads and all, and listCalls
@@ -89,6 +93,7 @@
 // shown is what may be read of the loop from outside.
 type shown struct {
 	version, servers atomic.Uint64 // of the list
+	settings         atomic.Uint64 // the version of those in force
 }
 
 // call is a client's request as the front took it, and where its answer goes.
@@ -167,6 +172,9 @@
 		figures: figures{ends: map[events.Status]int{}, probes: map[events.Status]int{}}}
 	l.disc = newDiscovery(cfg.Discovery, cfg.Known.Version, func(n news) { l.post(func() { l.onList(n) }) })
 	l.disc.from = cfg.CallFrom
+	if cfg.Control != nil {
+		l.disc.control(cfg, cfg.Known.Version)
+	}
 	l.source = l.disc.at()
 	return l, nil
 }
@@ -189,7 +197,7 @@
 	if l.table.usable() {
 		l.ready()
 	}
-	if l.pushed() {
+	if l.keepsWatch() {
 		l.watching = true
 		go l.disc.follow(l.ctx)
 	}
@@ -589,26 +597,46 @@
 
 // ---- discovery ----
 
-// reload takes over what may change in service: the settings and where discovery is.
-func (l *loop) reload(cfg *Config) {
+// reload takes over what may change in service: the settings and where discovery is. An error is why
+// nothing of it is in force.
+func (l *loop) reload(cfg *Config) error {
 	if err := l.balancer.Retune(cfg.Settings); err != nil {
 		// The file was checked as a whole: nothing of it may be in force without the rest.
 		l.write(slog.LevelError, "settings not taken over", "err", err)
-		return
+		return err
 	}
 	l.cfg.Settings = cfg.Settings
 	l.pool.retune(cfg)
-	l.write(slog.LevelInfo, "settings taken over", "classes", len(cfg.Settings.Classes),
-		"max_attempts", cfg.Settings.Limits.MaxAttempts)
+	args := []any{"classes", len(cfg.Settings.Classes), "max_attempts", cfg.Settings.Limits.MaxAttempts}
+	version := cfg.settingsVersion()
+	if version != 0 {
+		args = append(args, "version", version)
+	}
+	if l.shown.settings.Swap(version) != version {
+		l.figures.settings++
+	}
+	l.write(slog.LevelInfo, "settings taken over", args...)
 	if told := l.cfg.Hooks.OnSettings; told != nil {
-		told(0)
+		told(version)
 	}
-	if cfg.Discovery == l.cfg.Discovery {
+	l.moveDiscovery(cfg)
+	return nil
+}
+
+// moveDiscovery has the calls go to the addresses of a configuration, where those are others.
+func (l *loop) moveDiscovery(cfg *Config) {
+	own := *l.cfg
+	own.Discovery = cfg.Discovery
+	if l.cfg.Control != nil && cfg.Control != nil { // an agent without the section is so until its end
+		own.Control = &Control{Service: l.cfg.Control.Service, Addresses: cfg.Control.Addresses}
+	}
+	from, to := l.cfg.addresses(), own.addresses()
+	if slices.Equal(from, to) {
 		return
 	}
-	l.write(slog.LevelInfo, "discovery moves", "from", l.cfg.Discovery, "to", cfg.Discovery)
-	l.cfg.Discovery = cfg.Discovery
-	l.disc.move(cfg.Discovery)
+	l.write(slog.LevelInfo, "discovery moves", "from", strings.Join(from, ","), "to", strings.Join(to, ","))
+	l.cfg.Discovery, l.cfg.Control = own.Discovery, own.Control
+	l.disc.move(to...)
 }
 
 // onList takes an answer of discovery. A watch and a fetch may cross: what is older than
@@ -621,7 +649,7 @@
 	if n.err != nil {
 		l.figures.unlisted++
 		l.log(slog.LevelWarn, "discovery call failed", "watch", n.watch, "err", n.err)
-		if n.watch && l.pushed() {
+		if n.watch && l.keepsWatch() {
 			return // the module did not ask for the watch, which goes on by itself
 		}
 		if n.watch {
@@ -654,6 +682,9 @@
 	}
 }
 
+// keepsWatch tells whether the agent keeps a watch by itself, and not as the module asks.
+func (l *loop) keepsWatch() bool { return l.disc.turn != nil || l.pushed() }
+
 // pushed tells whether changes of the list come without the module's asking.
 func (l *loop) pushed() bool { return l.cfg.Settings.Membership == "pushed" }
 
