Judge a retry that bears no mark by its client's first try

Cause: state.go, recall, knows a retry's first try only where clients mark retries; elsewhere each retry had a whole aim anew. So retries went first, as the newest, to be late for the client, and took room from those that could be in time; and their class, thought served in time, was not the one that is served worst. Ruled out: rooms that grow (in flight from 966 to 2,149 between 2 and 13 s brought 3,032 and 2,880 answers a second).

Change: where retries bear no mark, what a try has less than the longest of its class is the time since the first, once a try was seen to have the whole time for all tries. The worst class is looked for where shares are kept; the lines come from that and from plainer forms of remember, further and update.

TestUnmarkedRetryIsJudgedByItsFirstTry fails without the change.

--- a/internal/policytest/scenario_test.go
+++ b/internal/policytest/scenario_test.go
@@ -1153,6 +1153,45 @@
 	}
 }
 
+// Where clients don't mark their retries, one that has less time than others of its class were
+// given lacks what has passed since its first try, and is judged by that. Where each try has a
+// time of its own, less than the time for all, a shorter one tells nothing.
+func TestUnmarkedRetryIsJudgedByItsFirstTry(t *testing.T) {
+	ended := func(given, left float64) float64 {
+		set := testSettings() // the aim is 300 ms, the time for all tries 1,000 ms
+		set.Clients.MarksRetry = false
+		r := newRig(t, set, 1)
+		come := func(left float64) []Action {
+			r.id++
+			return r.do(Event{Kind: EvRequest, Request: r.id, Class: 0, Key: r.rng.Uint64() | 1, LeftMs: left})
+		}
+		for r.b.View().InFlight < 2 { // the server's window is full: what comes is held
+			if find(come(given), ActSend) == nil {
+				t.Fatalf("the window is not filled: %+v", r.b.View())
+			}
+		}
+		start, actions := r.now, come(left)
+		for range 100 {
+			for _, a := range actions {
+				if a.Request == r.id && a.Kind != ActTimer {
+					return r.now - start
+				}
+			}
+			actions = r.tick(5)
+		}
+		t.Fatalf("held for 500 ms, given %.0f of %.0f ms", left, given)
+		return 0
+	}
+	first, retry, third := ended(1000, 1000), ended(1000, 800), ended(1000, 650)
+	if math.Abs(first-retry-200) > 10 || third > 10 {
+		t.Errorf("first tries were held for %.0f ms, retries after 200 ms for %.0f, after 350 ms for %.0f",
+			first, retry, third)
+	}
+	if a, b := ended(500, 500), ended(500, 400); math.Abs(a-first) > 10 || math.Abs(b-first) > 10 {
+		t.Errorf("tries of 500 ms were held for %.0f ms, one of 400 for %.0f, first tries for %.0f", a, b, first)
+	}
+}
+
 // A server that failed three times in a row is left alone for four aims; while the others
 // have no room it is tried again after one: one that fails some requests is better than
 // refusing them all.
--- a/policy/admit.go
+++ b/policy/admit.go
@@ -20,21 +20,11 @@
 	}
 	c := b.classOf(rules.Class)
 	r := &request{id: ev.Request, long: ev.Long, class: c, most: rules.MaxAttempts, key: ev.Key,
-		arrived: b.now, first: b.now}
-	left := max(ev.LeftMs, 0)
-	r.deadline = b.now + left - min(b.set.RoundMs, left/4)
-	if ev.Retry {
-		r.first = b.recall(r)
-	}
-	r.aimAt = min(r.first+c.AimMs, r.deadline)
+		arrived: b.now, first: b.firstTry(c, ev)}
+	b.due(r, max(ev.LeftMs, 0), r.first)
 	r.spot = b.spot(r.key)
 	b.requests[r.id] = r
 	b.tally(r.class)
-	for _, c := range b.classes {
-		if c.won*b.worst.asked < b.worst.won*c.asked {
-			b.worst = c
-		}
-	}
 	b.mayProbe = min(b.mayProbe+probeShare, probeCap)
 	b.revalidate()
 	b.held = append(b.held, r)
@@ -44,6 +34,12 @@
 	}
 }
 
+// due sets by when the request's answer has to be there, and by when to earn all of its worth.
+func (b *Balancer) due(r *request, left, first float64) {
+	r.deadline = b.now + left - min(b.set.RoundMs, left/4)
+	r.aimAt = min(first+r.class.AimMs, r.deadline)
+}
+
 // shed is the part of requests to refuse at once. Where much is served too late the
 // servers are crowded and work for nothing, and only less load lets them recover; an
 // agent that sees little knows no server's crowd, but its own part served in time.
@@ -54,8 +50,7 @@
 // value is the worth that a unit of server time spent on the request earns, by
 // the objective: a part of the whole, and all of the worst class if it is of it.
 func (b *Balancer) value(r *request) float64 {
-	c := r.class
-	o := &b.set.Objective
+	c, o := r.class, &b.set.Objective
 	v := c.Credit * (o.Whole + o.WorstWindow)
 	if r.class == b.worst {
 		v += o.WorstClass * b.credit / c.asked
@@ -221,8 +216,7 @@
 // onWritten begins a long request: its server has it whole, and its time counts from here.
 func (b *Balancer) onWritten(ev *Event) {
 	if a := b.attemptOf(ev); a != nil && !a.begun && !a.r.closed {
-		a.r.deadline = b.now + ev.LeftMs - min(b.set.RoundMs, ev.LeftMs/4)
-		a.r.aimAt = min(b.now+a.r.class.AimMs, a.r.deadline)
+		b.due(a.r, ev.LeftMs, b.now)
 		b.begin(a)
 	}
 }
@@ -346,10 +340,8 @@
 // and ends it otherwise. Further attempts are earned by served requests: where few are served
 // they would only multiply the load (ia9314f, ifa9784: two to six attempts a request).
 func (b *Balancer) further(r *request, why Status) {
-	c := r.class
-	able := r.risky == 0 || c.Effect == Free || c.Effect == Guarded
-	if !able || b.again < 1 || len(r.attempts) >= r.most || why == Moot ||
-		b.now >= r.deadline {
+	if r.risky > 0 && r.class.Effect == SingleShot || b.again < 1 || len(r.attempts) >= r.most ||
+		why == Moot || b.now >= r.deadline {
 		if why == Full || why == Timeout {
 			b.gain(0) // errors and lost connections tell nothing of crowds
 		}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -59,8 +59,9 @@
 	roomStep = 0.05
 	// smooth is the weight of one answer in a server's mean, slowSmooth in a fleet-wide one.
 	smooth, slowSmooth = 0.2, 0.005
-	// fade lets requests count less for shares with age, over about 500.
-	fade = 0.998
+	// fade lets requests count less for shares with age, over about 500. wholeTime is the part of
+	// the time for all tries by which one is known to have it all.
+	fade, wholeTime = 0.998, 0.95
 	// maxHeld bounds the requests held for room, and so the work of a decision.
 	maxHeld = 512
 	// coldBurst bounds what a cold server's credit saves up, in mean requests: all
--- a/policy/state.go
+++ b/policy/state.go
@@ -45,6 +45,7 @@
 	expect float64 // mean answer time
 	asked  float64 // its share of requests
 	won    float64 // and of those served in time
+	given  float64 // the longest that a client gave a try
 }
 
 // attempt is one send of a request.
@@ -146,7 +147,7 @@
 	return k
 }
 
-// tally keeps the classes' shares of requests.
+// tally keeps the classes' shares of requests, and which is served worst.
 func (b *Balancer) tally(of *class) {
 	b.credit = 0
 	for _, c := range b.classes {
@@ -155,6 +156,9 @@
 			c.asked += 1 - fade
 		}
 		b.credit += c.asked * c.Credit
+		if c.won*b.worst.asked < b.worst.won*c.asked {
+			b.worst = c
+		}
 	}
 }
 
@@ -175,19 +179,22 @@
 // remember keeps when an unserved request first came, so that its retry is
 // judged by the time that has passed for the client.
 func (b *Balancer) remember(r *request) {
-	if !b.set.Clients.MarksRetry {
-		return
-	}
 	b.pasts = slices.DeleteFunc(b.pasts, func(p past) bool { return b.now > p.until })
-	if len(b.pasts) < maxHeld {
+	if b.set.Clients.MarksRetry && len(b.pasts) < maxHeld {
 		b.pasts = append(b.pasts, past{r.class.Name, r.key, r.first, r.first + r.class.GiveUpMs})
 	}
 }
 
-func (b *Balancer) recall(r *request) float64 {
-	i := slices.IndexFunc(b.pasts, func(p past) bool { return p.class == r.class.Name && p.key == r.key })
-	if i < 0 {
-		return r.arrived
+// firstTry is when the client's first try came. That of a marked retry is remembered. Where
+// retries bear no mark they lack what has passed of the time for all tries, if a try may have it all.
+func (b *Balancer) firstTry(c *class, ev *Event) float64 {
+	c.given = max(c.given, min(ev.LeftMs, c.GiveUpMs))
+	if !b.set.Clients.MarksRetry && c.given > wholeTime*c.GiveUpMs {
+		return b.now - max(c.given-ev.LeftMs, 0)
+	}
+	i := slices.IndexFunc(b.pasts, func(p past) bool { return p.class == c.Name && p.key == ev.Key })
+	if !ev.Retry || i < 0 {
+		return b.now
 	}
 	first := b.pasts[i].first
 	b.pasts = slices.Delete(b.pasts, i, i+1)
--- a/policy/validate.go
+++ b/policy/validate.go
@@ -121,11 +121,10 @@
 	s, since := b.byAddr[e.Server], min(Finite(e.SinceMs), b.now)
 	if s == nil {
 		s = &server{id: e.Server, hash: mix(e.Server.Uint64()), state: Unknown, since: b.now,
-			startedAt: since, listedAt: since}
-		s.window = float64(max(firstWindow, firstShare/max(b.set.Replicas, 1)))
+			startedAt: since, listedAt: since, credit: b.rng.Float64(),
+			window: float64(max(firstWindow, firstShare/max(b.set.Replicas, 1)))}
 		b.byAddr[s.id] = s
 		b.room += firstRoom * b.ramp(s) / max(float64(b.set.Replicas-firstShare), 0)
-		s.credit = b.rng.Float64()
 		i, _ := slices.BinarySearchFunc(b.servers, s, func(x, y *server) int {
 			return cmp.Compare(x.id.Uint64(), y.id.Uint64())
 		})
