End attempts with the aim of a class whose late answers earn nothing

Cause: admit.go, onRequest: the deadline of every attempt was the client's, whatever an answer earned by then.

Change: due, for requests as they come and long ones once they are written, ends the time of one whose late answer earns nothing with its aim: no attempt goes on or begins after it, and the client is told then.

TestNoWorkForAnAnswerThatEarnsNothing fails without the change.

--- a/internal/policytest/scenario_test.go
+++ b/internal/policytest/scenario_test.go
@@ -1192,6 +1192,31 @@
 	}
 }
 
+// Where an answer after the aim earns nothing its attempt ends with the aim, and keeps no server
+// at work for longer; the client is told at once. Elsewhere it has the client's whole time.
+func TestNoWorkForAnAnswerThatEarnsNothing(t *testing.T) {
+	for class, want := range []ActionKind{ActRefuse, ActFail, ActFail} {
+		set := testSettings()
+		set.Classes[class].LateShare = 0
+		set.Clients.MarksRetry = false
+		r := newRig(t, set, 3)
+		id, actions := r.ask(class, 5)
+		a := find(actions, ActSend)
+		if a == nil || a.Ms > 300 || a.Ms < 280 {
+			t.Fatalf("class %d, aim 300 ms of 600: want an attempt that ends with the aim, got %+v", class, actions)
+		}
+		r.now += a.Ms
+		if actions = r.outcome(id, 0, a.Server, Timeout, a.Ms); find(actions, want) == nil {
+			t.Errorf("class %d: not told once the aim was over: %+v", class, actions)
+		}
+		set.Classes[class].LateShare = 0.2
+		_, actions = newRig(t, set, 3).ask(class, 5)
+		if a = find(actions, ActSend); a == nil || a.Ms < 500 {
+			t.Errorf("class %d, late answers earn something: want an attempt for the whole time, got %+v", class, actions)
+		}
+	}
+}
+
 // A server that failed three times in a row is left alone for four aims; while the others
 // have no room it is tried again after one: one that fails some requests is better than
 // refusing them all.
--- a/policy/admit.go
+++ b/policy/admit.go
@@ -34,10 +34,13 @@
 	}
 }
 
-// due sets by when the request's answer has to be there, and by when to earn all of its worth.
+// due sets until when the request's answer earns its worth, and until when anything.
 func (b *Balancer) due(r *request, left, first float64) {
 	r.deadline = b.now + left - min(b.set.RoundMs, left/4)
 	r.aimAt = min(first+r.class.AimMs, r.deadline)
+	if r.class.LateShare == 0 {
+		r.deadline = r.aimAt // work for it would be in vain
+	}
 }
 
 // shed is the part of requests to refuse at once. Where much is served too late the
