Play changes of settings in scale runs, and time them to in force at each agent

A plan's key `settings` is the share of the changes that are of a service's settings (0 unless it is said: such plans draw and play as before). Above 0 all agents have the section "control", each with a service (150 of 1,500 agents in proportion, one at least) and all list instances; the runner writes whole settings of a drawn service by an admin door, and takes from each of its agents the time from the acknowledgement to in force: hollow ones tell it, real ones log "settings taken over" with the version. A later version counts. A fleet is settled only once all have their last settings too.

In TestAgentLog and TestInForce the tracker is one of two kinds now, and last() is an agent's: they hold what they held.

--- a/internal/scale/days.go
+++ b/internal/scale/days.go
@@ -20,8 +20,8 @@
 // day makes a day's steps, and says what of it this run can't play.
 type day func(f *running, t *Target) (steps []step, missing []string)
 
-// days are all that can be played. All but the quiet one have changes of the list at the target's
-// rate, scaled to the size and hurried.
+// days are all that can be played. All but the quiet one have changes, of the list and of settings,
+// at the target's rate, scaled to the size and hurried.
 var days = map[string]day{
 	"quiet":    quiet,
 	"ordinary": ordinary,
@@ -86,22 +86,30 @@
 	return at
 }
 
-// changes are the list's changes of a day.
-func (f *running) changes(t *Target) (steps []step) {
+// changes are a day's changes, each of settings with the plan's share for it; missing says of which
+// kind there can be none.
+func (f *running) changes(t *Target) (steps []step, missing []string) {
 	for _, at := range f.moments(f.drawn(t.hurried(t.ChangesPerDay, f.size, f.plan)), 0, 1) {
-		steps = append(steps, step{at, f.change})
+		if f.drawsSettings() {
+			steps = append(steps, step{at, f.changeSettings})
+		} else {
+			steps = append(steps, step{at, f.change})
+		}
+	}
+	switch f.plan.Settings {
+	case 0:
+		missing = []string{"changes of settings: the plan has none"}
+	case 1:
+		missing = []string{"changes of the list: the plan has none"}
 	}
-	return steps
+	return steps, missing
 }
 
-// noSettings is what no day has yet.
-const noSettings = "changes of settings: nothing carries them to the agents but a file and a signal on each"
-
 func quiet(*running, *Target) ([]step, []string) { return nil, nil }
 
 // ordinary restarts agents in order and kills those whose machine fails, which stay away to the end.
 func ordinary(f *running, t *Target) ([]step, []string) {
-	steps, missing := f.changes(t), []string{noSettings}
+	steps, missing := f.changes(t)
 	restarts, failures := f.drawn(t.hurried(t.AgentsReplaced, f.size, f.plan)), f.drawn(t.hurried(t.MachinesFailed, f.size, f.plan))
 	for _, at := range f.moments(restarts, 0, 0.9) {
 		steps = append(steps, step{at, func(ctx context.Context) error {
@@ -137,7 +145,8 @@
 	f.mu.Lock()
 	f.draw.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
 	f.mu.Unlock()
-	steps, missing := f.changes(t), []string{noSettings, "traffic of agents that end, from up to 0.2 s before the order on"}
+	steps, missing := f.changes(t)
+	missing = append(missing, "traffic of agents that end, from up to 0.2 s before the order on")
 	turn := make(chan struct{}, 1)
 	turn <- struct{}{}
 	for i := range parts {
@@ -161,19 +170,21 @@
 	lost := f.draw.IntN(len(zoneNames))
 	f.mu.Unlock()
 	gone := make(chan []*member, 1)
-	steps := append(f.changes(t), step{0.2, func(ctx context.Context) error {
+	steps, missing := f.changes(t)
+	steps = append(steps, step{0.2, func(ctx context.Context) error {
 		some := f.zoneOf(lost)
 		err := f.each(ctx, some, func(ctx context.Context, m *member) error { return f.down(ctx, m, false) })
 		gone <- some
 		return err
 	}}, step{0.6, func(ctx context.Context) error { return f.each(ctx, <-gone, f.up) }})
-	return steps, []string{noSettings, "the zone's instance of the list service, and its servers, stay: only its agents are lost"}
+	return steps, append(missing, "the zone's instance of the list service, and its servers, stay: only its agents are lost")
 }
 
 // control kills the instance of the list service that leads, and starts it again.
 func control(f *running, t *Target) ([]step, []string) {
 	gone := make(chan string, 1)
-	steps := append(f.changes(t), step{0.2, func(context.Context) error {
+	steps, missing := f.changes(t)
+	steps = append(steps, step{0.2, func(context.Context) error {
 		lost, err := f.lists.awaitLeader()
 		gone <- lost
 		if err != nil {
@@ -191,11 +202,11 @@
 		}
 		return nil
 	}})
-	return steps, []string{noSettings}
+	return steps, missing
 }
 
 // region cuts the regions from each other, in the fleet view and between the instances of the
-// list service, and heals that. Agents ask an instance of their own region, so no call is cut.
+// list service, and heals that. No call to it is cut.
 func region(f *running, t *Target) ([]step, []string) {
 	sides := make([][]string, len(regionNames))
 	for _, m := range f.members {
@@ -205,7 +216,8 @@
 	for i, n := range f.lists.Names() {
 		instances[i%len(regionNames)] = append(instances[i%len(regionNames)], n)
 	}
-	steps := append(f.changes(t), step{0.2, func(context.Context) error {
+	steps, missing := f.changes(t)
+	steps = append(steps, step{0.2, func(context.Context) error {
 		f.board.Partition("region", sides...)
 		f.lists.Partition(instances...)
 		return nil
@@ -214,5 +226,5 @@
 		f.lists.Heal()
 		return nil
 	}})
-	return steps, []string{noSettings, "the fleet view's packets pass a relay of the runner's all day, which takes processor time that is no agent's"}
+	return steps, append(missing, "the fleet view's packets pass a relay of the runner's all day, which takes processor time that is no agent's")
 }
--- a/internal/scale/fleet.go
+++ b/internal/scale/fleet.go
@@ -16,6 +16,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"clayproxy.example/clayproxy/internal/agent"
 	"clayproxy.example/clayproxy/internal/cluster"
 	"clayproxy.example/clayproxy/internal/fleet"
 	"clayproxy.example/clayproxy/internal/lab"
@@ -55,6 +56,8 @@
 	host   *hostProcess // nil: a real one
 	ip     string
 	config json.RawMessage
+	// service is whose settings it takes; "": its file's.
+	service string
 
 	up   bool // it runs
 	busy bool // somebody starts or ends it
@@ -78,12 +81,16 @@
 	lists   *lists
 	hosts   []*hostProcess
 	reals   *reals
-	heard   *tracker
+	heard   trackers
 	meters  map[string]*meter // of the processes that may end and start again
 
-	mu      sync.Mutex
-	members []*member
-	servers []targets.Target
+	// services is how many services' settings change, 0 where none do.
+	services int
+
+	mu       sync.Mutex
+	members  []*member
+	servers  []targets.Target
+	settings uint64 // how many times settings were written
 }
 
 // start starts a whole fleet; the caller closes it, also after an error.
@@ -108,9 +115,15 @@
 		}
 		f.hosts = append(f.hosts, h)
 	}
+	if f.plan.Settings > 0 {
+		f.services = cfg.Target.servicesAt(f.size)
+	}
 	if err := f.name(hollow); err != nil {
 		return err
 	}
+	if err := f.fillSettings(ctx); err != nil {
+		return err
+	}
 	var names []string
 	for _, m := range f.members {
 		f.meters[m.name] = &meter{}
@@ -137,7 +150,7 @@
 		group.Go(func() error {
 			version, err := f.lists.put(ctx, s)
 			if err == nil {
-				f.heard.changed(version, time.Now())
+				f.heard[kindList].changed(version, time.Now())
 			}
 			return err
 		})
@@ -152,10 +165,9 @@
 }
 
 // name makes the members and their configurations: the first are hollow, and the first of those
-// everyone's seeds. Each hangs on an instance of the list service in its own region.
+// everyone's seeds. Each hangs on an instance of the list service in its own region, or, where settings
+// change, goes round them all.
 func (f *running) name(hollow int) error {
-	site := lab.Site()
-	site.Fleet.Zones = zoneNames
 	var seeds []string
 	var views []fleet.Config
 	for i := range f.size {
@@ -177,13 +189,10 @@
 		}
 		f.members, views = append(f.members, m), append(views, view)
 	}
+	f.share()
 	for i, m := range f.members {
 		views[i].Seeds = seeds
-		var err error
-		m.config, err = json.Marshal(map[string]any{"name": m.name, "listen": m.at(clientPort), "management": m.at(operatorPort),
-			"discovery": f.lists.Addr(f.instance(m), "http"), "seed": strconv.FormatUint(f.plan.Seed*100_000+uint64(i), 16), "limits": site.Limits(),
-			"known": targets.List{Full: true, Servers: []targets.Target{}}, "fleet": views[i], "settings": site.Settings(i, m.zone, f.size)})
-		if err != nil {
+		if err := f.configure(m, views[i]); err != nil {
 			return err
 		}
 		if m.host == nil {
@@ -195,7 +204,27 @@
 	return nil
 }
 
-// instance is the instance of the list service that a member asks: those of its region in turn.
+// deployment is the one whose settings the agents have.
+func deployment() *lab.Scenario {
+	s := lab.Site()
+	s.Fleet.Zones = zoneNames
+	return s
+}
+
+// configure makes a member's configuration.
+func (f *running) configure(m *member, view fleet.Config) (err error) {
+	s := deployment()
+	c := map[string]any{"name": m.name, "listen": m.at(clientPort), "management": m.at(operatorPort),
+		"discovery": f.lists.Addr(f.instance(m), "http"), "seed": strconv.FormatUint(f.plan.Seed*100_000+uint64(m.index), 16), "limits": s.Limits(),
+		"known": targets.List{Full: true, Servers: []targets.Target{}}, "fleet": view, "settings": s.Settings(m.index, m.zone, f.size)}
+	if m.service != "" {
+		c["control"] = agent.Control{Service: m.service, Addresses: f.addresses()}
+	}
+	m.config, err = json.Marshal(c)
+	return err
+}
+
+// instance is the instance of the list service that a member's "discovery" names: those of its region in turn.
 func (f *running) instance(m *member) string {
 	var own []string
 	for i, n := range f.lists.Names() {
@@ -225,7 +254,7 @@
 	if err := f.carry(ctx, m); err != nil {
 		return fmt.Errorf("before its end: %w", err)
 	}
-	f.heard.end(m.name)
+	f.heard.each(func(t *tracker) { t.end(m.name) })
 	f.mu.Lock()
 	m.up = false
 	f.mu.Unlock()
@@ -316,11 +345,11 @@
 	if err != nil {
 		return fmt.Errorf("change of %s: %w", now.ID, err)
 	}
-	f.heard.changed(version, time.Now())
+	f.heard[kindList].changed(version, time.Now())
 	return nil
 }
 
-// settled waits until all members that run have the last list and one view, which has not changed
+// settled waits until all members that run have the last list, their last settings and one view, which has not changed
 // for its settle time where it has to be calm; apart says who had not where that took too long.
 func (f *running) settled(ctx context.Context, calm bool) (apart string, err error) {
 	for end := time.Now().Add(settleTime); ; {
@@ -343,26 +372,32 @@
 	digest  string
 	calm    bool
 	version uint64
+	// settings is the version of those in force.
+	settings uint64
 }
 
-// apart says who of those that run differs from the others or lacks the last list; "": nobody.
+// apart says who of those that run differs from the others or lacks the last list or settings; "":
+// nobody.
 func (f *running) apart(ctx context.Context, calm bool) (string, error) {
 	all, err := f.look(ctx)
 	if err != nil {
 		return "", err
 	}
-	last, up := f.heard.last(), f.which(true)
+	up := f.which(true)
 	digests := map[string]int{}
-	behind, stirred := 0, 0
+	behind, untold, stirred := 0, 0, 0
 	for _, m := range up {
 		s, ok := all[m.name]
 		if !ok {
 			return m.name + " does not tell its view", nil
 		}
 		digests[s.digest]++
-		if s.version < last {
+		if s.version < f.heard[kindList].last(m.name) {
 			behind++
 		}
+		if s.settings < f.heard[kindSettings].last(m.name) {
+			untold++
+		}
 		if !s.calm {
 			stirred++
 		}
@@ -376,6 +411,8 @@
 		return fmt.Sprintf("%d of %d agents do not see the fleet that most see", len(up)-most, len(up)), nil
 	case behind > 0:
 		return fmt.Sprintf("%d of %d agents do not have the last list", behind, len(up)), nil
+	case untold > 0:
+		return fmt.Sprintf("%d of %d agents do not have their last settings", untold, len(up)), nil
 	case calm && stirred > 0:
 		return fmt.Sprintf("the views of %d of %d agents still change", stirred, len(up)), nil
 	}
@@ -396,7 +433,7 @@
 			mu.Lock()
 			defer mu.Unlock()
 			for name, a := range r.Agents {
-				all[name] = sees{a.Digest, a.Settled, a.ListVersion}
+				all[name] = sees{a.Digest, a.Settled, a.ListVersion, a.SettingsVersion}
 			}
 			return nil
 		})
@@ -415,7 +452,8 @@
 			}
 			mu.Lock()
 			defer mu.Unlock()
-			all[m.name] = sees{s.Digest, s.Settled, f.reals.knows(m.name).version}
+			l := f.reals.knows(m.name)
+			all[m.name] = sees{s.Digest, s.Settled, l.version, l.settings}
 			return nil
 		})
 	}
--- a/internal/scale/force.go
+++ b/internal/scale/force.go
@@ -13,7 +13,26 @@
 // allowed is how long a change may take to be in force at an agent before it counts as absent there.
 const allowed = 20 * time.Second
 
-// tracker holds what was acknowledged and what came into force where. A version may be passed
+// The kinds of changes, by which a host tells them and a run records them.
+const kindList, kindSettings = "list", "settings"
+
+// trackers are the trackers of both kinds of changes.
+type trackers map[string]*tracker
+
+func newTrackers() trackers {
+	t := trackers{kindList: newTracker(), kindSettings: newTracker()}
+	t[kindSettings].of = map[string]string{}
+	return t
+}
+
+// each does something with all of them.
+func (ts trackers) each(do func(*tracker)) {
+	for _, t := range ts {
+		do(t)
+	}
+}
+
+// tracker holds what was acknowledged of one kind and what came into force where. A version may be passed
 // over: a change is in force at an agent once that has the change's version or a later one.
 type tracker struct {
 	mu      sync.Mutex
@@ -21,10 +40,12 @@
 	lives   []*life
 	now     map[string]*life  // the lives that go on
 	early   map[string]forced // the last word of agents of which it is not known yet that they run
+	of      map[string]string // each agent's service, where changes are of one; made before agents run
 }
 
 // change is one that was acknowledged.
 type change struct {
+	service string // whose agents it is for; "": all agents'
 	version uint64
 	acked   time.Time
 }
@@ -99,11 +120,14 @@
 	}
 }
 
-// changed notes an acknowledged change.
-func (t *tracker) changed(version uint64, acked time.Time) {
+// changed notes an acknowledged change for all agents.
+func (t *tracker) changed(version uint64, acked time.Time) { t.changedOf("", version, acked) }
+
+// changedOf notes an acknowledged change for a service's agents.
+func (t *tracker) changedOf(service string, version uint64, acked time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.changes = append(t.changes, change{version, acked})
+	t.changes = append(t.changes, change{service, version, acked})
 }
 
 // count is how many changes were acknowledged.
@@ -113,12 +137,14 @@
 	return len(t.changes)
 }
 
-// last is the newest acknowledged version.
-func (t *tracker) last() (v uint64) {
+// last is the newest acknowledged version that is for an agent.
+func (t *tracker) last(agent string) (v uint64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, c := range t.changes {
-		v = max(v, c.version)
+		if c.service == t.of[agent] {
+			v = max(v, c.version)
+		}
 	}
 	return v
 }
@@ -136,7 +162,7 @@
 }
 
 // times are the times from each change's acknowledgement until it was in force, over all agents
-// that were there then, or one of those and gone before its time was up; missing is how many pairs
+// that it was for and that were there then, or one of those and gone before its time was up; missing is how many pairs
 // of change and agent can't be told, as the agent left lines out.
 func (t *tracker) times() (out capacity.Times, missing int, err error) {
 	t.mu.Lock()
@@ -145,7 +171,7 @@
 	now := time.Now()
 	for _, l := range t.lives {
 		for _, c := range t.changes {
-			if l.start.After(c.acked) || !l.end.IsZero() && l.end.Before(c.acked) {
+			if c.service != t.of[l.agent] || l.start.After(c.acked) || !l.end.IsZero() && l.end.Before(c.acked) {
 				continue
 			}
 			at, ok := l.reached(c.version)
--- a/internal/scale/host.go
+++ b/internal/scale/host.go
@@ -150,8 +150,8 @@
 	}
 	name := o.Agent
 	cfg.Log = h.log.With("agent", name)
-	cfg.Hooks.OnList = func(version uint64) { h.force(name, "list", version) }
-	cfg.Hooks.OnSettings = func(version uint64) { h.force(name, "settings", version) }
+	cfg.Hooks.OnList = func(version uint64) { h.force(name, kindList, version) }
+	cfg.Hooks.OnSettings = func(version uint64) { h.force(name, kindSettings, version) }
 	var ln agent.Listeners
 	if cfg.Management != "" {
 		if ln.Operators, err = net.Listen("tcp", cfg.Management); err != nil {
--- a/internal/scale/hostprocess.go
+++ b/internal/scale/hostprocess.go
@@ -20,7 +20,7 @@
 	cmd  *exec.Cmd
 	done chan struct{} // closed at its end
 	// heard is told what the host says of its agents.
-	heard *tracker
+	heard trackers
 
 	mu      sync.Mutex
 	in      io.WriteCloser
@@ -42,7 +42,7 @@
 )
 
 // startHost starts a host process by its command line, with its log in a directory.
-func startHost(command []string, name, dir string, heard *tracker) (*hostProcess, error) {
+func startHost(command []string, name, dir string, heard trackers) (*hostProcess, error) {
 	log, err := os.Create(filepath.Join(dir, name+".log"))
 	if err != nil {
 		return nil, err
@@ -91,16 +91,16 @@
 	}
 	switch {
 	case t.Started != "":
-		h.heard.begin(t.Started)
+		h.heard.each(func(tr *tracker) { tr.begin(t.Started) })
 		h.resolve("started "+t.Started, nil)
 	case t.Ended != "":
-		h.heard.gone(t.Ended)
+		h.heard.each(func(tr *tracker) { tr.gone(t.Ended) })
 		if !h.resolve("ended "+t.Ended, err) { // nobody ended it: it could not start
 			h.resolve("started "+t.Ended, errors.Join(err, fmt.Errorf("%s: %s has ended", h.name, t.Ended)))
 		}
 	case t.Force != nil:
-		if t.Force.Kind == "list" {
-			h.heard.force(t.Force.Agent, t.Force.Version, time.UnixMicro(t.Force.AtUs))
+		if kind := h.heard[t.Force.Kind]; kind != nil {
+			kind.force(t.Force.Agent, t.Force.Version, time.UnixMicro(t.Force.AtUs))
 		}
 	case t.Report != nil:
 		select {
--- a/internal/scale/lists.go
+++ b/internal/scale/lists.go
@@ -118,18 +118,31 @@
 	return ""
 }
 
-// put sets a server's entry through any instance, again at the next one where it fails, until it
-// is acknowledged or ctx ends; it gives the change's version.
+// errRefused ends a write that no other try can make good.
+var errRefused = errors.New("refused")
+
+// put sets a server's entry; it gives the change's version.
 func (l *lists) put(ctx context.Context, t targets.Target) (version uint64, err error) {
-	body, err := json.Marshal(t)
+	return l.persist(ctx, "/v1/servers/"+t.ID, t)
+}
+
+// putSettings sets a service's settings whole; it gives the change's version.
+func (l *lists) putSettings(ctx context.Context, service string, settings map[string]any) (version uint64, err error) {
+	return l.persist(ctx, "/v1/settings/"+service, settings)
+}
+
+// persist puts a value as JSON through any instance's admin door, again at the next one where it
+// fails, until it is acknowledged or refused as wrong, or ctx ends.
+func (l *lists) persist(ctx context.Context, path string, value any) (version uint64, err error) {
+	body, err := json.Marshal(value)
 	if err != nil {
 		return 0, err
 	}
 	for {
 		name := l.Names()[int(l.turn.Load())%len(l.Names())]
-		version, err := l.write(ctx, "http://"+l.Addr(name, "admin")+"/v1/servers/"+t.ID, body)
-		if err == nil {
-			return version, nil
+		version, err := l.write(ctx, "http://"+l.Addr(name, "admin")+path, body)
+		if err == nil || errors.Is(err, errRefused) {
+			return version, err
 		}
 		l.turn.Add(1)
 		select {
@@ -154,6 +167,9 @@
 	if err != nil {
 		return 0, err
 	}
+	if resp.StatusCode == http.StatusBadRequest {
+		return 0, fmt.Errorf("put: %w: %s", errRefused, bytes.TrimSpace(text))
+	}
 	if resp.StatusCode != http.StatusOK {
 		return 0, fmt.Errorf("put: %s: %s", resp.Status, bytes.TrimSpace(text))
 	}
--- a/internal/scale/plan.go
+++ b/internal/scale/plan.go
@@ -29,6 +29,9 @@
 	Seconds     float64  `toml:"seconds"` // measured, of a day
 	// Hurry is by how much changes and restarts come faster than the target has them at the size.
 	Hurry float64 `toml:"hurry"`
+	// Settings is the share of the changes, 0 to 1, that are of a service's settings, not of the list.
+	// Above 0 the agents have the section "control", each with a service and all list instances.
+	Settings float64 `toml:"settings"`
 }
 
 // DefaultPlan is what a plan has where it says nothing.
@@ -104,6 +107,8 @@
 		return "seconds", fmt.Errorf("must be from %d to 3600, is %v", leastSeconds, p.Seconds)
 	case !(p.Hurry > 0) || math.IsInf(p.Hurry, 0):
 		return "hurry", fmt.Errorf("must be above 0, is %v", p.Hurry)
+	case !(p.Settings >= 0 && p.Settings <= 1):
+		return "settings", fmt.Errorf("must be from 0 to 1, is %v", p.Settings)
 	}
 	return "", nil
 }
--- a/internal/scale/plan_test.go
+++ b/internal/scale/plan_test.go
@@ -32,6 +32,10 @@
 		{"sizes = [50]\nseconds = 1", "p.toml:2: seconds: must be from 5 to 3600, is 1"},
 		{"sizes = [50]\nhurry = nan", "p.toml:2: hurry: must be above 0, is NaN"},
 		{"sizes = [50]\nhurry = -3.0", "p.toml:2: hurry: must be above 0, is -3"},
+		{"sizes = [50]\nsettings = 2", "p.toml:2: settings: must be from 0 to 1, is 2"},
+		{"sizes = [50]\nsettings = -0.1", "p.toml:2: settings: must be from 0 to 1, is -0.1"},
+		{"sizes = [50]\nsettings = nan", "p.toml:2: settings: must be from 0 to 1, is NaN"},
+		{"sizes = [50]\nsettings = \"all\"", "p.toml:2: settings: "},
 		{"sizes = [50]\nseed = \"x\"", "p.toml:2: seed: "},
 		{"sizes = [50", "p.toml:1: "},
 	} {
@@ -51,8 +55,10 @@
 
 // TestCommittedPlan: what is committed is a plan, and so is the built-in one.
 func TestCommittedPlan(t *testing.T) {
-	if _, err := LoadPlan("../../docs/capacity/plan.toml"); err != nil {
-		t.Error(err)
+	for file, settings := range map[string]float64{"plan.toml": 0, "plan-settings.toml": 1} {
+		if p, err := LoadPlan("../../docs/capacity/" + file); err != nil || p.Settings != settings {
+			t.Errorf("%s: %+v, %v", file, p, err)
+		}
 	}
 	if key, err := SmallPlan().check(); err != nil {
 		t.Errorf("%s: %v", key, err)
@@ -67,6 +73,7 @@
 		{"[fleet]\nagents = 10\n[changes]\nper_day = -1", "changes.per_day"},
 		{"[fleet]\nagents = 10\n[day]\nmachines_failed = -1", "day.machines_failed"},
 		{"[fleet]\nagents = 10\n[day]\nagents_replaced = -1", "day.agents_replaced"},
+		{"[fleet]\nagents = 10", "fleet.services"},
 		{"[fleet\n", "target.toml"},
 	} {
 		if err := os.WriteFile(path, []byte(c.text), 0o600); err != nil {
@@ -84,6 +91,11 @@
 	if got := target.hurried(4800, 150, &Plan{Seconds: 10, Hurry: 100}); math.Abs(got-5.5556) > 0.001 {
 		t.Errorf("%v changes, want 5.5556", got)
 	}
+	for size, want := range map[int]int{1500: 150, 70: 7, 3: 1} {
+		if got := target.servicesAt(size); got != want {
+			t.Errorf("%d services of %d agents, want %d", got, size, want)
+		}
+	}
 }
 
 // TestRefused: a size that the machine can't hold is refused in one line that says what it would
@@ -154,17 +166,35 @@
 		t.Errorf("%+v, missing %d", times, missing)
 	}
 	tr.day()
-	if times, missing, err := tr.times(); err != nil || times.N != 0 || times.Absent != 0 || missing != 0 || tr.last() != 0 {
+	if times, missing, err := tr.times(); err != nil || times.N != 0 || times.Absent != 0 || missing != 0 || tr.last("all") != 0 {
 		t.Errorf("on the next day: %+v, %d, %v", times, missing, err)
 	}
 }
 
+// TestInForceOfService: a change of a service's settings is for its agents alone, and so is its version.
+func TestInForceOfService(t *testing.T) {
+	tr := newTrackers()[kindSettings]
+	tr.of["a"], tr.of["b"] = "one", "two"
+	tr.begin("a")
+	tr.begin("b")
+	acked := time.Now()
+	tr.changedOf("one", 5, acked)
+	tr.changedOf("two", 9, acked)
+	tr.force("a", 5, acked.Add(time.Second))
+	tr.force("b", 9, acked.Add(3*time.Second))
+	times, _, err := tr.times()
+	if err != nil || times.N != 2 || math.Abs(times.Worst-3000) > 3 || tr.last("a") != 5 || tr.last("b") != 9 || tr.last("c") != 0 {
+		t.Errorf("%+v, %v; last %d and %d", times, err, tr.last("a"), tr.last("b"))
+	}
+}
+
 // TestAgentLog: versions and counts are read from the agent's own lines.
 func TestAgentLog(t *testing.T) {
 	dir := t.TempDir()
-	tr := newTracker()
-	r := &reals{dir: dir, heard: tr, logs: map[string]*agentLog{"a": {}}}
-	tr.begin("a")
+	heard := newTrackers()
+	tr, settings := heard[kindList], heard[kindSettings]
+	r := &reals{dir: dir, heard: heard, logs: map[string]*agentLog{"a": {}}}
+	heard.each(func(t *tracker) { t.begin("a") })
 	write := func(text string) {
 		f, err := os.OpenFile(filepath.Join(dir, "a.log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 		if err != nil {
@@ -185,6 +215,8 @@
 		t.Errorf("%+v, blind %v", l, tr.now["a"].blind)
 	}
 	write("00Z level=INFO msg=list watch=true full=false from=36 to=38 lines=1\n" +
+		`time=2026-12-02T04:23:12.750Z level=INFO msg="settings taken over" classes=3 max_attempts=5 version=41` + "\n" +
+		`time=2026-12-02T04:23:12.800Z level=INFO msg="settings taken over" classes=3 max_attempts=5` + "\n" +
 		`time=2026-12-02T04:23:13.000Z level=INFO msg=figures module="{States:[1 30 2 0] Held:0}" counts="{taken:0 unlogged:2 listIn:800 listOut:120 listCalls:4}"` + "\n")
 	if err := r.read("a"); err != nil {
 		t.Fatal(err)
@@ -193,4 +225,7 @@
 	if f := tr.now["a"].forced; len(f) != 2 || f[1].version != 38 || !f[1].at.Equal(want) || !tr.now["a"].blind {
 		t.Errorf("%+v, blind %v", f, tr.now["a"].blind)
 	}
+	if f := settings.now["a"].forced; len(f) != 1 || f[0].version != 41 || !f[0].at.Equal(want.Add(250*time.Millisecond)) || r.knows("a").settings != 41 {
+		t.Errorf("settings: %+v, %+v", f, r.knows("a"))
+	}
 }
--- a/internal/scale/print.go
+++ b/internal/scale/print.go
@@ -44,8 +44,10 @@
 				return err
 			}
 		}
-		if t, ok := r.InForce["list"]; ok {
-			fmt.Fprintf(out, "  in force after, ms: p50 %.1f, p99 %.1f, worst %.1f of %d; never %d; settled at the end: %v\n", t.P50, t.P99, t.Worst, t.N, t.Absent, r.Settled)
+		for _, kind := range []string{kindList, kindSettings} {
+			if t, ok := r.InForce[kind]; ok {
+				fmt.Fprintf(out, "  %s in force after, ms: p50 %.1f, p99 %.1f, worst %.1f of %d; never %d; settled at the end: %v\n", kind, t.P50, t.P99, t.Worst, t.N, t.Absent, r.Settled)
+			}
 		}
 		if len(r.Missing) > 0 {
 			fmt.Fprintf(out, "  not measured: %s\n", strings.Join(r.Missing, "; "))
--- a/internal/scale/reals.go
+++ b/internal/scale/reals.go
@@ -22,7 +22,7 @@
 type reals struct {
 	*cluster.Cluster
 	dir    string
-	heard  *tracker
+	heard  trackers
 	client *http.Client
 
 	mu   sync.Mutex
@@ -33,6 +33,7 @@
 type agentLog struct {
 	offset   int64
 	version  uint64 // of the list
+	settings uint64 // their version, 0 while they are the file's
 	servers  int    // entries of the list, by the module's view
 	unlogged int    // lines that the process left out
 	// What calls to discovery had taken at the last "figures" line, and that line's time.
@@ -41,7 +42,7 @@
 }
 
 // newReals makes the processes, whose configurations NAME.json are in dir; none runs yet.
-func newReals(program, dir string, names []string, heard *tracker) (*reals, error) {
+func newReals(program, dir string, names []string, heard trackers) (*reals, error) {
 	r := &reals{dir: dir, heard: heard, logs: map[string]*agentLog{}, client: &http.Client{Timeout: time.Second,
 		Transport: &http.Transport{DisableKeepAlives: true}}}
 	for _, n := range names {
@@ -74,7 +75,7 @@
 		resp.Body.Close()
 		return resp.StatusCode == http.StatusOK
 	})
-	r.heard.begin(name)
+	r.heard.each(func(t *tracker) { t.begin(name) })
 	return err
 }
 
@@ -94,7 +95,7 @@
 // ended reads what a process that has ended said last.
 func (r *reals) ended(name string) error {
 	err := r.read(name)
-	r.heard.gone(name)
+	r.heard.each(func(t *tracker) { t.gone(name) })
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	l := r.logs[name]
@@ -110,11 +111,12 @@
 }
 
 // The lines of an agent's log that are read (README, "Reading the log"): "list", an answer of
-// discovery as it is taken over, and "figures".
+// discovery as it is taken over, "settings taken over", and "figures".
 var (
-	timeOf     = regexp.MustCompile(`^time=(\S+) `)
-	listLine   = regexp.MustCompile(` msg=list .*\bto=(\d+)\b`)
-	figureLine = regexp.MustCompile(` msg=figures .*module="\{States:\[(\d+) (\d+) (\d+) (\d+)\].*\bunlogged:(\d+)\b.*\blistIn:(\d+) listOut:(\d+) listCalls:(\d+)`)
+	timeOf       = regexp.MustCompile(`^time=(\S+) `)
+	listLine     = regexp.MustCompile(` msg=list .*\bto=(\d+)\b`)
+	settingsLine = regexp.MustCompile(` msg="settings taken over" .*\bversion=(\d+)`)
+	figureLine   = regexp.MustCompile(` msg=figures .*module="\{States:\[(\d+) (\d+) (\d+) (\d+)\].*\bunlogged:(\d+)\b.*\blistIn:(\d+) listOut:(\d+) listCalls:(\d+)`)
 )
 
 // read reads what an agent's log has beyond what was read of it.
@@ -147,8 +149,8 @@
 
 // take takes one line; the caller holds mu.
 func (r *reals) take(name string, l *agentLog, line []byte) error {
-	list, counts := listLine.FindSubmatch(line), figureLine.FindSubmatch(line)
-	if list == nil && counts == nil {
+	list, settings, counts := listLine.FindSubmatch(line), settingsLine.FindSubmatch(line), figureLine.FindSubmatch(line)
+	if list == nil && settings == nil && counts == nil {
 		return nil
 	}
 	stamp := timeOf.FindSubmatch(line)
@@ -159,13 +161,20 @@
 	if err != nil {
 		return err
 	}
-	if list != nil {
-		version, err := strconv.ParseUint(string(list[1]), 10, 64)
+	for _, of := range []struct {
+		kind string
+		line [][]byte
+		last *uint64
+	}{{kindList, list, &l.version}, {kindSettings, settings, &l.settings}} {
+		if of.line == nil {
+			continue
+		}
+		version, err := strconv.ParseUint(string(of.line[1]), 10, 64)
 		if err != nil {
 			return err
 		}
-		l.version = max(l.version, version)
-		r.heard.force(name, version, at)
+		*of.last = max(*of.last, version)
+		r.heard[of.kind].force(name, version, at)
 		return nil
 	}
 	var n [8]int
@@ -176,7 +185,7 @@
 	}
 	l.servers = n[0] + n[1] + n[2] + n[3] // by the module's states
 	if n[4] > l.unlogged {
-		r.heard.blinded(name)
+		r.heard.each(func(t *tracker) { t.blinded(name) })
 	}
 	l.unlogged = n[4]
 	l.listIn, l.listOut, l.listCalls, l.counted = float64(n[5]), float64(n[6]), float64(n[7]), at
--- a/internal/scale/run.go
+++ b/internal/scale/run.go
@@ -92,7 +92,7 @@
 	p := cfg.Plan
 	seed := p.Seed + uint64(repeat) - 1
 	f := &running{plan: p, size: hollow + p.Real, listed: p.Listed, dir: dir, draw: rand.New(rand.NewPCG(seed, uint64(hollow))),
-		heard: newTracker(), meters: map[string]*meter{}}
+		heard: newTrackers(), meters: map[string]*meter{}}
 	if f.listed == 0 {
 		f.listed = f.size
 	}
@@ -146,7 +146,7 @@
 		return false, ctx.Err()
 	}
 	cfg.Progress("%d hollow agents, repeat %d: %s", run.Hollow, run.Repeat, run.Day)
-	f.heard.day()
+	f.heard.each((*tracker).day)
 	steps, missing := days[run.Day](f, cfg.Target)
 	before, err := f.sample(ctx)
 	if err != nil {
@@ -202,16 +202,23 @@
 			}
 		}
 	}
-	times, missing, err := f.heard.times()
-	if err != nil {
-		return err
-	}
-	run.Changes = f.heard.count()
-	if run.Changes > 0 {
-		run.InForce = map[string]capacity.Times{"list": times}
-	}
-	if missing > 0 {
-		run.Missing = append(run.Missing, fmt.Sprintf("in force: %d pairs of change and real agent, whose log left lines out", missing))
+	for _, kind := range []string{kindList, kindSettings} {
+		changes := f.heard[kind].count()
+		if changes == 0 {
+			continue
+		}
+		times, missing, err := f.heard[kind].times()
+		if err != nil {
+			return err
+		}
+		if run.InForce == nil {
+			run.InForce = map[string]capacity.Times{}
+		}
+		run.Changes += changes
+		run.InForce[kind] = times
+		if missing > 0 {
+			run.Missing = append(run.Missing, fmt.Sprintf("%s in force: %d pairs of change and real agent, whose log left lines out", kind, missing))
+		}
 	}
 	return nil
 }
--- a/internal/scale/scale_test.go
+++ b/internal/scale/scale_test.go
@@ -44,6 +44,14 @@
 
 // played plays days at one size and gives their records.
 func played(t *testing.T, hollow int, days ...string) []*capacity.Run {
+	t.Helper()
+	p := SmallPlan()
+	p.Sizes, p.Days, p.Seconds = []int{hollow}, days, leastSeconds
+	return playedPlan(t, p)
+}
+
+// playedPlan plays a plan of one size and gives its records.
+func playedPlan(t *testing.T, p *Plan) []*capacity.Run {
 	t.Helper()
 	bin, err := programs()
 	if err != nil {
@@ -53,8 +61,6 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	p := SmallPlan()
-	p.Sizes, p.Days, p.Seconds = []int{hollow}, days, leastSeconds
 	var runs []*capacity.Run
 	err = Play(context.Background(), Config{Plan: p, Target: target, Dir: t.TempDir(), Commit: "test", Agent: filepath.Join(bin, "ringtrack"),
 		List: filepath.Join(bin, "fernlist"), Host: []string{filepath.Join(bin, "fernlab"), "scale-host"},
@@ -62,8 +68,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if len(runs) != len(days) {
-		t.Fatalf("%d runs of %d days", len(runs), len(days))
+	if len(runs) != len(p.Days) {
+		t.Fatalf("%d runs of %d days", len(runs), len(p.Days))
 	}
 	return runs
 }
@@ -141,6 +147,25 @@
 	}
 }
 
+// TestSettingsReachAll plays changes of the list and of settings under the loss of the
+// list instance that leads: both kinds are recorded, each pair of a settings change and an agent of its
+// service, and all that run have the last of both at the end.
+func TestSettingsReachAll(t *testing.T) {
+	t.Parallel()
+	p := SmallPlan()
+	p.Sizes, p.Days, p.Seconds, p.Hurry, p.Settings = []int{12}, []string{"control"}, leastSeconds, 6000, 0.5
+	for _, r := range playedPlan(t, p) {
+		list, settings := r.InForce["list"], r.InForce["settings"]
+		if !r.Settled || list.Absent > 0 || settings.Absent > 0 {
+			t.Errorf("%s: settled %v; never in force: %d of the list, %d of settings", r.Day, r.Settled, list.Absent, settings.Absent)
+		}
+		// Two services share 15 agents: a change of the list has up to 15 pairs, one of settings up to 8.
+		if list.N == 0 || settings.N == 0 || settings.Histogram == "" || settings.N+list.N < int64(7*r.Changes/2) || settings.N > int64(8*r.Changes) {
+			t.Errorf("%s: %d changes, %d times of the list, %d of settings", r.Day, r.Changes, list.N, settings.N)
+		}
+	}
+}
+
 // descendants are the processes that a process started, and those that these did.
 func descendants(pid int) (all []int) {
 	stats, _ := filepath.Glob("/proc/[0-9]*/stat")
