--- a/internal/scale/scale_test.go
+++ b/internal/scale/scale_test.go
@@ -44,6 +44,14 @@
 
 // played plays days at one size and gives their records.
 func played(t *testing.T, hollow int, days ...string) []*capacity.Run {
+	t.Helper()
+	p := SmallPlan()
+	p.Sizes, p.Days, p.Seconds = []int{hollow}, days, leastSeconds
+	return playedPlan(t, p)
+}
+
+// playedPlan plays a plan of one size and gives its records.
+func playedPlan(t *testing.T, p *Plan) []*capacity.Run {
 	t.Helper()
 	bin, err := programs()
 	if err != nil {
@@ -53,8 +61,6 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	p := SmallPlan()
-	p.Sizes, p.Days, p.Seconds = []int{hollow}, days, leastSeconds
 	var runs []*capacity.Run
 	err = Play(context.Background(), Config{Plan: p, Target: target, Dir: t.TempDir(), Commit: "test", Agent: filepath.Join(bin, "ringtrack"),
 		List: filepath.Join(bin, "fernlist"), Host: []string{filepath.Join(bin, "fernlab"), "scale-host"},
@@ -62,8 +68,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if len(runs) != len(days) {
-		t.Fatalf("%d runs of %d days", len(runs), len(days))
+	if len(runs) != len(p.Days) {
+		t.Fatalf("%d runs of %d days", len(runs), len(p.Days))
 	}
 	return runs
 }
@@ -74,6 +80,9 @@
 	if !r.Settled {
 		t.Errorf("%d hollow, %s: not all came to one view and the last list", r.Hollow, r.Day)
 	}
+	if _, ok := r.InForce["settings"]; ok {
+		t.Errorf("%d hollow, %s: changes of settings in a plan without them", r.Hollow, r.Day)
+	}
 	times := r.InForce["list"]
 	if times.Absent > 0 {
 		t.Errorf("%d hollow, %s: %d pairs of change and agent without it", r.Hollow, r.Day, times.Absent)
@@ -141,6 +150,25 @@
 	}
 }
 
+// TestSettingsReachAll plays changes of settings under the loss of the list instance that leads: each
+// pair of a change and an agent of its service is timed, and all that run have their last settings at
+// the end.
+func TestSettingsReachAll(t *testing.T) {
+	t.Parallel()
+	p := SmallPlan()
+	p.Sizes, p.Days, p.Seconds, p.Hurry, p.Settings = []int{12}, []string{"control"}, leastSeconds, 6000, 1
+	r := playedPlan(t, p)[0]
+	times := r.InForce["settings"]
+	if _, ok := r.InForce["list"]; ok || !r.Settled || times.Absent > 0 || r.Changes == 0 || times.Histogram == "" {
+		t.Errorf("settled %v, %d changes, in force %+v", r.Settled, r.Changes, r.InForce)
+	}
+	// Two services share 15 agents, 3 of them real: a change has 7 or 8 pairs, 4 at least of hollow
+	// agents, which leave nothing out.
+	if times.N < int64(4*r.Changes) || times.N > int64(8*r.Changes) {
+		t.Errorf("%d changes, %d times", r.Changes, times.N)
+	}
+}
+
 // descendants are the processes that a process started, and those that these did.
 func descendants(pid int) (all []int) {
 	stats, _ := filepath.Glob("/proc/[0-9]*/stat")
