Do not make a lost call to discovery again at once, where the agent has several addresses

Go's HTTP client makes a GET whose kept connection is lost again at once, on a new connection. With the section "control" a call now has one connection, and the next follows after the jittered wait. That wait is up to 0.75 s now, which leaves a change known in 9.3 s with three addresses silent. Links of the fault harness keep when connections came, by which this is measured.

--- a/internal/agent/addresses.go
+++ b/internal/agent/addresses.go
@@ -1,7 +1,10 @@
 package agent
 
 import (
+	"context"
+	"errors"
 	"math/rand/v2"
+	"net/http/httptrace"
 	"sync/atomic"
 	"time"
 
@@ -14,16 +17,16 @@
 //   - a call that stands when its instance falls silent, is paused or cut off is given up after
 //     watchWait + callGrace = 2.25 s; one whose connection does not come up, after callGrace; one that is
 //     refused or reset, at once;
-//   - the next address is asked moveMost = 0.5 s later at the most, and the bound of callsPerS adds 0.1 s;
-//   - so each silent address costs 2.85 s, and the fourth is asked after 3 x 2.85 = 8.55 s and answers at
-//     once, 2.45 s before the bound. With the one that fell silent among others that answer: 2.85 s.
+//   - the next address is asked moveMost = 0.75 s later at the most, and the bound of callsPerS adds 0.1 s;
+//   - so each silent address costs 3.1 s, and the fourth is asked after 3 x 3.1 = 9.3 s and answers at
+//     once, 1.7 s before the bound. With the one that fell silent among others that answer: 3.1 s.
 //
 // Where all have failed, the wait before the next turn is up to turnMost = 4 s: once they are back and
-// have a leader, an agent has asked one of them 4.1 s later, or 2.85 s more for each that stays silent.
+// have a leader, an agent has asked one of them 4.1 s later, or 3.1 s more for each that stays silent.
 const (
 	// moveMost bounds the wait before the next address is asked: agents that hung on one instance
 	// must not come to the others in step.
-	moveMost = 500 * time.Millisecond
+	moveMost = 750 * time.Millisecond
 	// turnFirst and turnMost bound the wait, drawn evenly from nothing up to a bound that doubles, before
 	// the next turn once all addresses have failed in one.
 	turnFirst, turnMost = time.Second, 4 * time.Second
@@ -96,3 +99,17 @@
 	t.failures = 0
 	t.backoff.Reset()
 }
+
+// errLost ends a call whose connection was lost.
+var errLost = errors.New("the connection was lost")
+
+// hadConn is the key of whether a call has had a connection.
+type hadConn struct{}
+
+// onOneConn is the context of a call that is not made again by itself. The client of net/http makes a call
+// whose kept connection is lost again at once, on a new one: at an instance's fall all its agents would.
+func onOneConn(ctx context.Context) context.Context {
+	had := new(atomic.Bool)
+	ctx = context.WithValue(ctx, hadConn{}, had)
+	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { had.Store(true) }})
+}
--- a/internal/agent/control_test.go
+++ b/internal/agent/control_test.go
@@ -13,6 +13,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -320,6 +321,52 @@
 	third.calledWith(t, "index", "41")
 }
 
+// A call whose connection is lost is not made again until the wait after a failure is over: the agents of
+// an instance that falls would all come at once.
+func TestALostCallIsNotMadeAgainAtOnce(t *testing.T) {
+	t.Parallel()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { ln.Close() })
+	var conns atomic.Int64
+	go func() {
+		for {
+			nc, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			conns.Add(1)
+			br := bufio.NewReader(nc)
+			for n := 0; n < 2; n++ { // the second call gets no answer
+				if _, err := http.ReadRequest(br); err != nil || n == 1 {
+					break
+				}
+				text := `{"version":5,"full":false,"servers":[]}`
+				fmt.Fprintf(nc, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(text), text)
+			}
+			nc.Close()
+		}
+	}()
+	atFailure := make(chan int64, 100)
+	cfg := &Config{Name: "pay-1", Discovery: ln.Addr().String(), Control: &Control{Service: "pay"}}
+	d := newDiscovery(cfg.Discovery, 1, func(n news) {
+		if n.err != nil {
+			atFailure <- conns.Load()
+		}
+	})
+	d.control(cfg, 1)
+	ctx, stop := context.WithCancel(t.Context())
+	defer stop()
+	go d.follow(ctx)
+	for want := range int64(3) {
+		if got := <-atFailure; got != want+1 {
+			t.Errorf("%d connections came before failure %d was told", got, want+1)
+		}
+	}
+}
+
 // An instance that has less than the others is passed over; only once all have less is all asked for.
 func TestOnlyAPastOnAllAddressesIsBelieved(t *testing.T) {
 	t.Parallel()
@@ -359,6 +406,8 @@
 	d := newTeller(t, 41)
 	a, _ := startTold(t, d.addr())
 	lines := a.logged(t)
+	told := make(chan uint64, 100)
+	inLoop(a, func(l *loop) bool { l.cfg.Hooks.OnSettings = func(version uint64) { told <- version }; return true })
 	q := d.calledWith(t, "in_force", "0")
 	if q.Get("service") != "pay" || q.Get("agent") != "pay-1" || q.Has("refused") || q.Has("why") {
 		t.Errorf("the first call has %v", q)
@@ -388,6 +437,13 @@
 	if got := inForceNow(a); got != [4]int{2, 5, 3, 1} || a.figures().settings != 3 {
 		t.Errorf("in force: %v, after %d changes", got, a.figures().settings)
 	}
+	var hooked []uint64
+	for len(told) > 0 {
+		hooked = append(hooked, <-told)
+	}
+	if !slices.Equal(hooked, []uint64{50, 51, 52}) || a.loop.shown.settings.Load() != 52 {
+		t.Errorf("the hook was told %v, and the status is at %d", hooked, a.loop.shown.settings.Load())
+	}
 }
 
 // Settings that the agent can't take are counted, logged and told with the key, and the old stay.
--- a/internal/agent/discovery.go
+++ b/internal/agent/discovery.go
@@ -149,6 +149,9 @@
 }
 
 func (d *discovery) dial(ctx context.Context, network, addr string) (net.Conn, error) {
+	if had, ok := ctx.Value(hadConn{}).(*atomic.Bool); ok && had.Load() {
+		return nil, errLost
+	}
 	dialer := net.Dialer{Timeout: callGrace}
 	if d.from != nil {
 		dialer.LocalAddr = &net.TCPAddr{IP: d.from}
@@ -322,6 +325,9 @@
 
 // call makes one call and reads the list that it brings.
 func (d *discovery) call(ctx context.Context, url string) (*List, error) {
+	if d.turn != nil {
+		ctx = onOneConn(ctx)
+	}
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
 		return nil, fmt.Errorf("discovery: %w", err)
--- a/internal/cluster/link.go
+++ b/internal/cluster/link.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"net"
+	"slices"
 	"sync"
 	"time"
 )
@@ -22,6 +23,7 @@
 	delay    time.Duration
 	drop     float64
 	conns    map[net.Conn]bool
+	accepted []time.Time
 }
 
 func newLink(from, to, target string, c *Cluster) (*Link, error) {
@@ -37,6 +39,13 @@
 // Addr is the proxy's address, host:port on loopback.
 func (l *Link) Addr() string { return l.ln.Addr().String() }
 
+// Accepted is when connections came, in order, those that were refused with them.
+func (l *Link) Accepted() []time.Time {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return slices.Clone(l.accepted)
+}
+
 // SetCut cuts the link (true) or restores it; cutting resets what is open.
 func (l *Link) SetCut(cut bool) {
 	l.mu.Lock()
@@ -70,6 +79,7 @@
 			return
 		}
 		l.mu.Lock()
+		l.accepted = append(l.accepted, time.Now())
 		refuse := l.cut || rand.Float64() < l.drop
 		l.mu.Unlock()
 		if refuse {
