--- a/internal/capacity/page_test.go
+++ b/internal/capacity/page_test.go
@@ -15,7 +15,7 @@
 	"pgregory.net/rapid"
 )
 
-const mechanismsFile = "../../docs/capacity/mechanisms.toml"
+const mechanismsFile = "testdata/mechanisms.toml"
 
 // tables are a page's tables from runs and benchmark files.
 func tables(t interface {
