--- a/internal/scale/fits.go
+++ b/internal/scale/fits.go
@@ -9,15 +9,17 @@
 	"clayproxy.example/clayproxy/internal/cluster"
 )
 
-// What one of each takes: see docs/capacity/README.md, from the records of scale runs there.
+// What one of each takes at the most, by docs/capacity/scale.jsonl: resident MB a hollow agent, its
+// process over the agents in it, 1.7 to 2.1 at 70 agents, 2.4 to 3.8 at 220, 4.1 to 5.7 at 420; a real
+// one 17.6, 27.7 and 29.6; an instance of the list service 18.1, 20.7 and 24.6.
 const (
-	hollowMB       = 2.0   // a hollow agent, resident, with a small fleet
-	hollowMemberMB = 0.004 // and for each member of its fleet
-	realMB         = 16.0  // a real agent, resident
-	realMemberMB   = 0.01
-	listMB         = 60.0 // an instance of the list service
-	hostMB         = 30.0 // a host process without agents
-	// hollowSockets are the descriptors of a hollow agent, hostSockets those of its process.
+	hollowMB       = 1.5
+	hollowMemberMB = 0.01 // for each member of its fleet
+	realMB         = 15.0
+	realMemberMB   = 0.06
+	listMB         = 40.0
+	// hollowSockets are the descriptors of a hollow agent: 10.2 on all days, and 26 that its view may
+	// take while it joins (fleet.Sockets); hostSockets those of its process.
 	hollowSockets, hostSockets = 40, 32
 	// mostProcesses is what this project allows itself on a machine.
 	mostProcesses = 300
@@ -45,7 +47,7 @@
 func (p *Plan) fits(hollow, halfMB, freeMB int, files uint64) error {
 	n := float64(hollow + p.Real)
 	hosts := (hollow + p.AgentsAHost - 1) / p.AgentsAHost
-	mb := int(float64(hollow)*(hollowMB+hollowMemberMB*n) + float64(p.Real)*(realMB+realMemberMB*n) + float64(p.Lists)*listMB + float64(hosts)*hostMB)
+	mb := int(float64(hollow)*(hollowMB+hollowMemberMB*n) + float64(p.Real)*(realMB+realMemberMB*n) + float64(p.Lists)*listMB)
 	processes := hosts + p.Real + p.Lists + 1
 	sockets := uint64(min(p.AgentsAHost, hollow)*hollowSockets + hostSockets)
 	what := fmt.Sprintf("sizes: %d hollow agents in %d processes, %d real ones and %d instances of the list service", hollow, hosts, p.Real, p.Lists)
