--- a/internal/capacity/page.go
+++ b/internal/capacity/page.go
@@ -400,7 +400,7 @@
 	for _, f := range Figures {
 		fmt.Fprintf(b, "| %s ", f.Name)
 		for _, day := range agentDays {
-			runs, _ := p.played(day)
+			runs, _ := p.played(subjectAgent, day)
 			s := source(runs, f)
 			switch {
 			case s.HasRatio && !s.Ratio.Steady:
@@ -417,7 +417,7 @@
 
 // runs are what was read, and what of it does not count.
 func (p *Page) runs(b *bytes.Buffer) {
-	b.WriteString("\n### Runs\n\n")
+	b.WriteString("\n### Runs\n\nWhat a role takes is told of the first plan alone; changes in force are of all plans that made such.\n\n")
 	if len(p.Records) == 0 {
 		b.WriteString("No record was given: nothing of the fleet was measured.\n")
 		return
--- a/internal/capacity/page_test.go
+++ b/internal/capacity/page_test.go
@@ -224,6 +224,23 @@
 	}
 }
 
+// A second plan tells its changes in force, and nothing of what roles take.
+func TestRolesAreOfTheFirstPlan(t *testing.T) {
+	first, second := someRun(), someRun()
+	second.Plan, second.Day, second.Size = "second", first.Day, first.Size+1
+	first.Roles[RoleReal].Mean[ResidentMB], second.Roles[RoleReal].Mean[ResidentMB] = 10, 30
+	second.InForce = map[string]Times{"settings": {N: 5, P50: 1, P99: 2, Worst: 3}}
+	_, alone := tables(t, []*Run{first})
+	_, both := tables(t, []*Run{first, second})
+	if a, b := alone.row(t, "agent/quiet/memory"), both.row(t, "agent/quiet/memory"); a.atTarget() != b.atTarget() {
+		t.Errorf("memory %q with a second plan, %q without", b.atTarget(), a.atTarget())
+	}
+	second.Day = "ordinary"
+	if _, both = tables(t, []*Run{first, second}); both.row(t, "in force/ordinary/settings").atTarget() == "not measured" {
+		t.Error("the second plan's settings in force are not told")
+	}
+}
+
 func TestLastPlayOfARunCounts(t *testing.T) {
 	first, again, other, late := someRun(), someRun(), someRun(), someRun()
 	other.Repeat, late.Repeat, late.Invalid = 2, 3, []string{"late"}
@@ -390,7 +407,7 @@
 	}
 	_, p := tables(t, madeUp(t))
 	r := p.row(t, "agent/rollout/processor")
-	runs, _ := p.played("rollout")
+	runs, _ := p.played(subjectAgent, "rollout")
 	if _, plain := r.Fit.At(1500, perAgent(runs)*1500*200); r.In.Lo >= plain.Lo || r.In.Hi <= plain.Hi {
 		t.Errorf("%v, no wider than %v", r.In, plain)
 	}
--- a/internal/capacity/rows.go
+++ b/internal/capacity/rows.go
@@ -60,6 +60,7 @@
 	Mechanisms *Mechanisms
 	Records    []Record
 	Runs       []*Run // of all records, counted
+	base       []*Run // of these the plan's that comes first: roles are not told from plans mixed
 	Benches    []*Bench
 	Command    string // that prints the page
 
@@ -94,6 +95,7 @@
 		}
 		p.Records = append(p.Records, rec)
 	}
+	p.base = slices.DeleteFunc(slices.Clone(p.Runs), func(r *Run) bool { return r.Plan != p.Runs[0].Plan })
 	for _, day := range agentDays {
 		for _, f := range Figures {
 			p.rows = append(p.rows, p.agent(day, f))
@@ -158,9 +160,12 @@
 }
 
 // played are the runs of a day, of one hurry, and this hurry: 1 on a quiet day, which has nothing to
-// hurry.
-func (p *Page) played(day string) ([]*Run, float64) {
-	runs := ofDay(p.Runs, day)
+// hurry. They are the first plan's where roles are told; changes in force come from all plans.
+func (p *Page) played(subject, day string) ([]*Run, float64) {
+	runs := ofDay(p.base, day)
+	if subject == subjectForce {
+		runs = ofDay(p.Runs, day)
+	}
 	if day == "quiet" {
 		return runs, 1
 	}
@@ -171,7 +176,7 @@
 // target's: the quiet day's, and of what the hurried day adds to it the part that the hurry is. What
 // another day has is its own trouble and hurried changes, which can't be told apart, and is taken as it is.
 func (p *Page) measure(r *Row, f Figure, take func([]*Run) ([]Point, Source)) {
-	runs, hurry := p.played(r.Day)
+	runs, hurry := p.played(r.Subject, r.Day)
 	points, s := take(runs)
 	r.Source, r.Runs = s.Why, len(points)
 	r.largest(points)
@@ -195,7 +200,7 @@
 		r.note(fmt.Sprintf("at ×%s the rates", num(hurry)))
 		return
 	}
-	quiet := ofDay(p.Runs, "quiet")
+	quiet := ofDay(p.base, "quiet")
 	calm, of := take(quiet)
 	base, err := NewFit(calm)
 	if err != nil {
--- a/internal/scale/host_test.go
+++ b/internal/scale/host_test.go
@@ -381,6 +381,12 @@
 	d.order("start", "a0", s.config(0))
 	d.await(0, "list in force", func(x *Telling) bool { return x.Force != nil })
 	before := level(t)
+	for same := 0; same < 10; time.Sleep(100 * time.Millisecond) { // it has begun once nothing is added any more
+		if now := level(t); now[0] > before[0] || now[1] > before[1] {
+			before, same = [2]int{max(before[0], now[0]), max(before[1], now[1])}, 0
+		}
+		same++
+	}
 	for round := range 20 {
 		since := d.count()
 		name := fmt.Sprintf("b%d", round)
