Give each process of the fault harness a loopback address of its own

Symptom: a run of the whole check failed in TestLeaderPartitionedAway: 'cluster: n3: port admin again: listen tcp 127.0.0.1:43639: bind: address already in use'. Ruled out: another listener (ports are drawn by the system). Change: each process has a drawn address unless Config.IP names one.

--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -8,6 +8,7 @@
 import (
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"os"
 	"os/exec"
@@ -29,8 +30,8 @@
 	Ports  []string // the names of each process's listeners, such as "raft" or "http"
 	// Args is the command line of a process (without the program's path); nil: none.
 	Args func(c *Cluster, name string) []string
-	// IP is the loopback address of a process's listeners; nil: 127.0.0.1. On an address of its own
-	// no call of another process can take a port while the process that has it is down.
+	// IP is the loopback address of a process's listeners; nil: one drawn for each. On an address of its
+	// own no call of another process can take a port while the process that has it is down.
 	IP func(name string) string
 	// Env is what a process has in its environment beside the harness's own; nil: nothing.
 	Env func(name string) []string
@@ -61,7 +62,7 @@
 	}
 	c := &Cluster{cfg: cfg, start: time.Now(), procs: map[string]*proc{}, links: map[[2]string]*Link{}}
 	for _, name := range cfg.Names {
-		p, ip := &proc{name: name, addrs: map[string]string{}}, "127.0.0.1"
+		p, ip := &proc{name: name, addrs: map[string]string{}}, ownIP()
 		if cfg.IP != nil {
 			ip = cfg.IP(name)
 		}
@@ -78,6 +79,11 @@
 	return c, nil
 }
 
+// ownIP draws a loopback address; calls come from 127.0.0.1, which it never is.
+func ownIP() string {
+	return fmt.Sprintf("127.%d.%d.%d", 1+rand.IntN(254), rand.IntN(256), 1+rand.IntN(254))
+}
+
 // Addr is the address of a process's listener by its port name.
 func (c *Cluster) Addr(name, port string) string {
 	c.mu.Lock()
