--- a/internal/capacity/page.go
+++ b/internal/capacity/page.go
@@ -264,7 +264,7 @@
 func (p *Page) from(r *Row) string {
 	var parts []string
 	for i, rec := range p.Records {
-		if r.Runs > 0 && rec.days[r.Day] {
+		if r.Runs > 0 && slices.ContainsFunc(rec.counted, func(run *Run) bool { return p.tells(run, r) }) {
 			parts = append(parts, fmt.Sprintf("[%d]", i+1))
 		}
 	}
@@ -277,6 +277,14 @@
 	return strings.Join(parts, " ")
 }
 
+// tells is whether a row is taken from a run, among others.
+func (p *Page) tells(run *Run, r *Row) bool {
+	if r.Subject == subjectForce {
+		return run.Day == r.Day && run.InForce[r.Figure].N > 0
+	}
+	return run.Day == r.Day && run.Plan == p.base[0].Plan
+}
+
 // times are the times from a change's acknowledgement as they were measured at the largest size.
 func (p *Page) times(b *bytes.Buffer) {
 	b.WriteString("\nAs measured, at the largest size of each day: means over its runs of the p50, the p99 and the last agent's.\n\n" +
--- a/internal/capacity/page_test.go
+++ b/internal/capacity/page_test.go
@@ -235,6 +235,9 @@
 	if a, b := alone.row(t, "agent/quiet/memory"), both.row(t, "agent/quiet/memory"); a.atTarget() != b.atTarget() {
 		t.Errorf("memory %q with a second plan, %q without", b.atTarget(), a.atTarget())
 	}
+	if both.tells(second, both.row(t, "agent/quiet/memory")) {
+		t.Error("memory is said to come from the second plan")
+	}
 	second.Day = "ordinary"
 	if _, both = tables(t, []*Run{first, second}); both.row(t, "in force/ordinary/settings").atTarget() == "not measured" {
 		t.Error("the second plan's settings in force are not told")
--- a/internal/capacity/rows.go
+++ b/internal/capacity/rows.go
@@ -72,7 +72,7 @@
 	Path string
 	Runs []*Run // as read
 
-	days map[string]bool // of runs that count
+	counted []*Run
 }
 
 // agentDays and listDays are the days that the page has for a role.
@@ -88,11 +88,8 @@
 func NewPage(t *Target, m *Mechanisms, records []Record, benches []*Bench) (*Page, error) {
 	p := &Page{Target: t, Mechanisms: m, Benches: benches}
 	for _, rec := range records {
-		rec.days = map[string]bool{}
-		for _, r := range Counted(rec.Runs) {
-			p.Runs = append(p.Runs, r)
-			rec.days[r.Day] = true
-		}
+		rec.counted = Counted(rec.Runs)
+		p.Runs = append(p.Runs, rec.counted...)
 		p.Records = append(p.Records, rec)
 	}
 	p.base = slices.DeleteFunc(slices.Clone(p.Runs), func(r *Run) bool { return r.Plan != p.Runs[0].Plan })
