Ask the hosts for their reports in one place, and take a row's plan from the page's own choice

Read again, no behaviour changed: look and sample had one loop over the hosts each, now reports; tells named the first plan's rule anew, and asks the runs that it chose. No assertion is changed. -race of internal/scale (62 s), internal/capacity and cmd/fernlab pass; the page's tables are the same to the byte, as its test holds.

--- a/internal/capacity/page.go
+++ b/internal/capacity/page.go
@@ -282,7 +282,7 @@
 	if r.Subject == subjectForce {
 		return run.Day == r.Day && run.InForce[r.Figure].N > 0
 	}
-	return run.Day == r.Day && run.Plan == p.base[0].Plan
+	return run.Day == r.Day && slices.Contains(p.base, run)
 }
 
 // times are the times from a change's acknowledgement as they were measured at the largest size.
--- a/internal/scale/fleet.go
+++ b/internal/scale/fleet.go
@@ -419,11 +419,8 @@
 	return "", nil
 }
 
-// look asks all members that run.
-func (f *running) look(ctx context.Context) (map[string]sees, error) {
-	var mu sync.Mutex
-	all := map[string]sees{}
-	group, ctx := errgroup.WithContext(ctx)
+// reports asks all hosts, in the group, and hands on each one's report while mu is held.
+func (f *running) reports(ctx context.Context, group *errgroup.Group, mu *sync.Mutex, take func(host string, r *Report)) {
 	for _, h := range f.hosts {
 		group.Go(func() error {
 			r, err := h.report(ctx)
@@ -432,12 +429,22 @@
 			}
 			mu.Lock()
 			defer mu.Unlock()
-			for name, a := range r.Agents {
-				all[name] = sees{a.Digest, a.Settled, a.ListVersion, a.SettingsVersion}
-			}
+			take(h.name, r)
 			return nil
 		})
 	}
+}
+
+// look asks all members that run.
+func (f *running) look(ctx context.Context) (map[string]sees, error) {
+	var mu sync.Mutex
+	all := map[string]sees{}
+	group, ctx := errgroup.WithContext(ctx)
+	f.reports(ctx, group, &mu, func(_ string, r *Report) {
+		for name, a := range r.Agents {
+			all[name] = sees{a.Digest, a.Settled, a.ListVersion, a.SettingsVersion}
+		}
+	})
 	for _, m := range f.which(true) {
 		if m.host != nil {
 			continue
--- a/internal/scale/measure.go
+++ b/internal/scale/measure.go
@@ -69,18 +69,7 @@
 	s := &sample{hosts: map[string]reading{}, hollow: map[string]reading{}, real: map[string]reading{}, lists: map[string]reading{}, agents: map[string]int{}}
 	var mu sync.Mutex
 	group, ctx := errgroup.WithContext(ctx)
-	for _, h := range f.hosts {
-		group.Go(func() error {
-			r, err := h.report(ctx)
-			if err != nil {
-				return err
-			}
-			mu.Lock()
-			defer mu.Unlock()
-			s.takeReport(h.name, r, f.meters)
-			return nil
-		})
-	}
+	f.reports(ctx, group, &mu, func(host string, r *Report) { s.takeReport(host, r, f.meters) })
 	for _, m := range f.which(true) {
 		if m.host != nil {
 			continue
