--- a/review/standin/kit.go
+++ b/review/standin/kit.go
@@ -12,6 +12,7 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"strconv"
 	"sync"
@@ -61,6 +62,13 @@
 	}
 	r := &run{trouble: os.Getenv("TROUBLE") != "0", dir: dir, began: time.Now(), record: record}
 	r.logf("trouble %v", r.trouble)
+	ended := make(chan os.Signal, 1)
+	signal.Notify(ended, syscall.SIGTERM, os.Interrupt)
+	go func() {
+		r.logf("could not run: %v", <-ended)
+		r.cleanup()
+		os.Exit(2)
+	}()
 	limit := time.AfterFunc(115*time.Second, func() {
 		r.logf("could not run: not done within 115 s")
 		r.cleanup()
@@ -365,12 +373,24 @@
 }
 
 // serve serves HTTP on a new loopback address until the end of the run.
-func (r *run) serve(handler http.Handler) (addr string, server *http.Server) {
-	ln := listen()
-	server = &http.Server{Handler: handler}
-	go func() { _ = server.Serve(ln) }()
+func (r *run) serve(handler http.Handler) (addr string, server *httpServer) {
+	server = &httpServer{Server: &http.Server{Handler: handler}, ln: listen()}
+	go func() { _ = server.Serve(server.ln) }()
 	r.atEnd(func() { _ = server.Close() })
-	return ln.Addr().String(), server
+	return server.ln.Addr().String(), server
+}
+
+// httpServer is an HTTP server and its listener.
+type httpServer struct {
+	*http.Server
+	ln net.Listener
+}
+
+// moveAway ends a discovery as the page says: from now on it takes no new connections, and it closes its open ones after
+// 1.5 s.
+func (s *httpServer) moveAway() {
+	_ = s.ln.Close()
+	time.AfterFunc(1500*time.Millisecond, func() { _ = s.Close() })
 }
 
 // head returns the text of a request without its body.
--- a/review/standin/stale.go
+++ b/review/standin/stale.go
@@ -14,8 +14,8 @@
 
 const (
 	cutBeforeWrite = 10 * time.Second
-	cutTime        = 25 * time.Second // as the long cuts of docs/CAPACITY.md
-	watchTime      = 12 * time.Second // after the cut
+	cutTime        = 24900 * time.Millisecond // within the 25 s of the long cuts of docs/CAPACITY.md
+	watchTime      = 12 * time.Second         // after the cut
 	// maxAge is the default of max_stale, and the time in which a leader that is cut off steps down.
 	maxAge = 2*time.Second + 500*time.Millisecond
 	// ageSlack is for the time that a poll takes.
@@ -128,7 +128,7 @@
 // acknowledgement of the removal.
 func (r *run) pollList(from instance, end time.Time, removals <-chan time.Time) {
 	var removed time.Time
-	last, stale := "", 0
+	stale := 0
 	for time.Now().Before(end) {
 		select {
 		case removed = <-removals:
@@ -136,10 +136,7 @@
 		}
 		asked := time.Now()
 		state, hasRemoved := r.readList(from)
-		if state != last {
-			r.logf("read at %s: %s", from.id, state)
-			last = state
-		}
+		r.logf("read at %s: %s", from.id, state)
 		if age := asked.Sub(removed); hasRemoved && !removed.IsZero() && age > maxAge+ageSlack {
 			if stale++; stale == 1 {
 				r.breaks("max_stale: %s answered a read with a list that has s-0, %.1f s after its removal was acknowledged",
--- a/review/standin/zones.go
+++ b/review/standin/zones.go
@@ -33,10 +33,8 @@
 		if bad {
 			status = http.StatusInternalServerError
 		}
-		if bad || attempt > 1 {
-			s.r.logf("server %s in %s: request %s, attempt %d, dropped as a repeat: %v, has taken effect in %d zones; answers %d",
-				name, zone, req.Header.Get("Request-Id"), attempt, repeat, ranIn, status)
-		}
+		s.r.logf("server %s in %s: request %s, attempt %d, dropped as a repeat: %v, has taken effect in %d zones; answers %d",
+			name, zone, req.Header.Get("Request-Id"), attempt, repeat, ranIn, status)
 		w.WriteHeader(status)
 		_, _ = io.WriteString(w, "done")
 	}))
@@ -80,7 +78,7 @@
 		second, _ := r.serve(list)
 		r.writeConfig(a, config(second, known, settings(mantaClasses, zones...)))
 		r.signal(a.process, syscall.SIGHUP)
-		time.AfterFunc(1500*time.Millisecond, func() { _ = oldServer.Close() })
+		oldServer.moveAway()
 	}
 	time.Sleep(6 * time.Second)
 	list.put(servers.serve("s-guayaquil-6", "guayaquil", 6, true), servers.serve("s-cuenca-7", "cuenca", 7, false))
@@ -111,6 +109,7 @@
 	r.must(err, "connect")
 	defer func() { _ = conn.Close() }()
 	body := "tarifa=1.00"
+	r.logf("client: sends %s of reserva-cupo", id)
 	_, _ = io.WriteString(conn, head("POST", "/api/"+id, id, "reserva-cupo", 2000, len(body), "Idempotency-Key: k-"+id+"\r\n")+body)
 	_ = conn.SetReadDeadline(time.Now().Add(3 * time.Second))
 	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
@@ -119,5 +118,6 @@
 		return "none"
 	}
 	_, _ = io.ReadAll(resp.Body)
+	r.logf("client: %s: %s", id, resp.Status)
 	return resp.Status
 }
