Count and log a rejection or failure that can't be written to its client

What was seen: a client got no answer to a long upload, while the agent logged "request failed" as if it had answered. Neither the log nor the metrics told whether the response had been written: only served responses were checked, and net/http drops the error of a response that it writes after the handler has returned.

Change: a response without a body is flushed by the handler, with "Content-Length: 0" as before, and a failed write is counted and logged like that of a served one ("response aborted", `aborted`). A client that had gone before is left out, as it is counted already.

--- a/internal/agent/dispatch/dispatcher.go
+++ b/internal/agent/dispatch/dispatcher.go
@@ -38,7 +38,7 @@
 	})
 }
 
-// ResponseAborted counts and logs a response that was started but not forwarded completely.
+// ResponseAborted counts and logs a response that was started but not written to the client completely.
 func (l *Loop) ResponseAborted(incoming *message.Request, fromServer, toClient error) {
 	l.Post(func() { l.logAborted(incoming, fromServer, toClient) })
 }
--- a/internal/agent/dispatch/log.go
+++ b/internal/agent/dispatch/log.go
@@ -48,7 +48,7 @@
 	return began + fmt.Sprintf(" ended %d after %.0f: %s]", a.status, a.latencyMs, a.reason)
 }
 
-// logAborted counts and logs a response that was started but not forwarded completely.
+// logAborted counts and logs a response that was started but not written to the client completely.
 func (l *Loop) logAborted(incoming *message.Request, fromServer, toClient error) {
 	l.metrics.Aborted++
 	l.logger.logLimited(slog.LevelWarn, "response aborted", "id", incoming.ID,
--- a/internal/agent/dispatch/metrics.go
+++ b/internal/agent/dispatch/metrics.go
@@ -24,7 +24,7 @@
 	Backstops int
 	// Violations counts the actions of the policy that violated the rules of a request.
 	Violations int
-	// Aborted counts the responses that were started but not forwarded completely.
+	// Aborted counts the responses that were started but not written to the client completely.
 	Aborted int
 	// Attempts and HealthChecks are counted by status.
 	Attempts, HealthChecks map[balancer.Status]int
--- a/internal/agent/downstream/fixture_test.go
+++ b/internal/agent/downstream/fixture_test.go
@@ -10,14 +10,16 @@
 	"fernbeam.example/fernbeam/internal/agent/message"
 )
 
-// testDispatcher answers each request with an empty response and counts the requests.
+// testDispatcher answers each request with the same response, and counts the requests and the aborted responses.
 type testDispatcher struct {
+	response message.Response
 	requests atomic.Int64
+	aborted  atomic.Int64
 }
 
 func (d *testDispatcher) Dispatch(request *message.Request) {
 	d.requests.Add(1)
-	request.Response <- message.Response{Kind: message.Served, Header: http.Header{}, Body: &message.ResponseBody{}}
+	request.Response <- d.response
 }
 
 func (*testDispatcher) Abandon(*message.Request)                             {}
@@ -25,12 +27,20 @@
 func (*testDispatcher) EndAll()                                              {}
 func (*testDispatcher) AcceptFailed(error)                                   {}
 func (*testDispatcher) InvalidRequest(string, string, *message.RequestError) {}
-func (*testDispatcher) ResponseAborted(*message.Request, error, error)       {}
 
-// startServer starts a Server on the listener, with a testDispatcher.
+func (d *testDispatcher) ResponseAborted(*message.Request, error, error) { d.aborted.Add(1) }
+
+// startServer starts a Server on the listener, with a testDispatcher that serves each request an empty response.
 func startServer(t *testing.T, ln net.Listener) (*Server, *testDispatcher) {
 	t.Helper()
-	dispatcher := new(testDispatcher)
+	served := message.Response{Kind: message.Served, Header: http.Header{}, Body: &message.ResponseBody{}}
+	dispatcher := &testDispatcher{response: served}
+	return startServerWith(t, ln, dispatcher), dispatcher
+}
+
+// startServerWith starts a Server on the listener with the given dispatcher.
+func startServerWith(t *testing.T, ln net.Listener, dispatcher *testDispatcher) *Server {
+	t.Helper()
 	cfg := agenttest.NewConfig(t, ln.Addr().String(), agenttest.NewDiscovery(t))
 	server := New(t.Context(), cfg, Options{
 		Listener:   ln,
@@ -44,5 +54,5 @@
 		server.Close()
 		<-served
 	})
-	return server, dispatcher
+	return server
 }
--- a/internal/agent/downstream/response.go
+++ b/internal/agent/downstream/response.go
@@ -18,7 +18,6 @@
 		// closed, so what follows the body is not read as another request.
 		closeAfterResponse(w)
 		defer func() {
-			_ = http.NewResponseController(w).Flush()               // the client may have disconnected
 			_, _ = io.Copy(io.Discard, request.Streamed.ClientBody) // lets the client finish sending
 		}()
 	}
@@ -32,13 +31,24 @@
 		if response.RetryAfterMs > 0 {
 			w.Header().Set("Retry-After", retryAfterSeconds(response.RetryAfterMs))
 		}
-		w.WriteHeader(http.StatusServiceUnavailable)
+		s.writeStatus(w, request, http.StatusServiceUnavailable)
 	case response.BadRequest:
-		w.WriteHeader(http.StatusBadRequest)
+		s.writeStatus(w, request, http.StatusBadRequest)
 	case response.TimedOut:
-		w.WriteHeader(http.StatusGatewayTimeout)
+		s.writeStatus(w, request, http.StatusGatewayTimeout)
 	default:
-		w.WriteHeader(http.StatusBadGateway)
+		s.writeStatus(w, request, http.StatusBadGateway)
+	}
+}
+
+// writeStatus writes a response without a body. It counts and logs a response that can't be written, unless the client
+// has gone before.
+func (s *Server) writeStatus(w http.ResponseWriter, request *message.Request, status int) {
+	clientWaits := request.Context.Err() == nil // a failed write cancels the context too
+	w.Header().Set("Content-Length", "0")
+	w.WriteHeader(status)
+	if err := http.NewResponseController(w).Flush(); err != nil && clientWaits {
+		s.dispatcher.ResponseAborted(request, nil, err)
 	}
 }
 
--- a/internal/agent/downstream/server.go
+++ b/internal/agent/downstream/server.go
@@ -51,7 +51,7 @@
 	AcceptFailed(err error)
 	// InvalidRequest counts and logs a message from a client that is not a valid request.
 	InvalidRequest(id, from string, invalid *message.RequestError)
-	// ResponseAborted counts and logs a response that was started but not forwarded completely.
+	// ResponseAborted counts and logs a response that was started but not written to the client completely.
 	ResponseAborted(request *message.Request, serverErr, clientErr error)
 }
 
