Write deadlines of clients count from each write, not from the head of the request

Cause: http.Server.WriteTimeout (70 s) counts from the head of a request, and the time of a request from the last byte of its body, which may take minutes. Only served responses set a write deadline of their own.

Change: no WriteTimeout. Each write to a client, of whatever kind, has its own deadline of 10 s without progress (clientConn.Write, listener.WriteWithin), as served responses had. This works as a deadline that begins with the write can't have expired before it, and nothing has to be set anew for the next request.

--- a/internal/agent/downstream/conn.go
+++ b/internal/agent/downstream/conn.go
@@ -9,7 +9,9 @@
 	"syscall"
 	"time"
 
+	"fernbeam.example/fernbeam/internal/agent/message"
 	"fernbeam.example/fernbeam/internal/agent/socket"
+	"fernbeam.example/fernbeam/internal/listener"
 )
 
 // connKey is the context key of the *clientConn that a request arrived on.
@@ -113,6 +115,12 @@
 	return n
 }
 
+// Write writes to the client. Its deadline counts from the beginning of the write, however long the request has taken,
+// and ends the connection of a client that does not read.
+func (c *clientConn) Write(data []byte) (int, error) {
+	return listener.WriteWithin(c.Conn, data, message.StallTimeout)
+}
+
 // peerClosed reports whether the client has closed its side, even if bytes before the close are still unread. The HTTP
 // server does not notice such a close after it has read ahead or left a request body unread.
 func (c *clientConn) peerClosed() bool {
--- a/internal/agent/downstream/server.go
+++ b/internal/agent/downstream/server.go
@@ -26,8 +26,6 @@
 	requestHeadTimeout = 2600 * time.Millisecond
 	// maxRequestTimeoutMs is the longest request timeout that a client may set, in milliseconds.
 	maxRequestTimeoutMs = 60_000
-	// writeTimeout is the time allowed for writing a response, measured from the arrival of the request's head.
-	writeTimeout = maxRequestTimeoutMs*time.Millisecond + 10*time.Second
 	// keepAliveTimeout is how long a client connection may stay idle.
 	keepAliveTimeout = 2 * time.Minute
 	// maxRequestHead is the maximum size of the head of a request, in bytes.
@@ -116,10 +114,11 @@
 	onFailure := func(err error, _ uint64) { s.dispatcher.AcceptFailed(err) }
 	accepting := listener.New(options.Listener, onFailure)
 	s.listener = newClientListener(accepting, s.conns.slots)
+	// There is no WriteTimeout: it would count from a request's head, and a body may take longer than any timeout. Each
+	// write has its own deadline (clientConn.Write).
 	s.server = &http.Server{
 		Handler:           s,
 		ReadHeaderTimeout: requestHeadTimeout,
-		WriteTimeout:      writeTimeout,
 		IdleTimeout:       keepAliveTimeout,
 		MaxHeaderBytes:    maxRequestHead,
 		ConnState:         s.conns.track,
--- a/internal/agent/message/response_body.go
+++ b/internal/agent/message/response_body.go
@@ -59,14 +59,13 @@
 	}
 }
 
-// flushingWriter flushes after each write to a client, with a deadline for each write.
+// flushingWriter flushes after each write to a client.
 type flushingWriter struct {
 	w       http.ResponseWriter
 	control *http.ResponseController
 }
 
 func (f flushingWriter) write(chunk []byte) error {
-	_ = f.control.SetWriteDeadline(time.Now().Add(StallTimeout)) // on a closed connection the write fails too
 	if _, err := f.w.Write(chunk); err != nil {
 		return err
 	}
