Read the rest of an early response with a deadline

What callers would see: a server that answers in the middle of a streamed body and stops in the middle of its answer held the client for as long as it waited, and both connections.

Cause: while a streamed body is written, the connection has no read deadline, and only the end of the write set one. A response head that ended the write left the rest of the response without a deadline; the backstop does not count then.

Change: the deadline is set once the write has ended in either way (limitResponse).

--- a/internal/agent/upstream/streamed.go
+++ b/internal/agent/upstream/streamed.go
@@ -58,6 +58,7 @@
 		head = e.awaitHead(ctx, writeErr)
 	case head = <-e.heads:
 		writeErr = e.stopWriting()
+		e.limitResponse(ctx, e.responseDeadline())
 	}
 	return e.finish(head, writeErr)
 }
@@ -100,15 +101,26 @@
 func (e *streamedExchange) awaitHead(ctx context.Context, writeErr error) responseHead {
 	if writeErr == nil {
 		e.outgoing.OnSent()
-		e.conn.setReadDeadline(e.outgoing.Streamed.ResponseDeadline(e.outgoing.ResponseTime))
+		e.limitResponse(ctx, e.responseDeadline())
 	} else {
 		// The server may have sent a response before it stopped reading.
-		e.conn.setReadDeadline(time.Now().Add(earlyResponseWait))
+		e.limitResponse(ctx, time.Now().Add(earlyResponseWait))
 	}
+	return <-e.heads
+}
+
+// responseDeadline returns when the attempt stops waiting for the rest of the response. If the response is early, the
+// client's last byte may never be read, so that the time for the response counts from now.
+func (e *streamedExchange) responseDeadline() time.Time {
+	return e.outgoing.Streamed.ResponseDeadline(e.outgoing.ResponseTime)
+}
+
+// limitResponse sets the deadline for reading the response, which had none while the request was being written.
+func (e *streamedExchange) limitResponse(ctx context.Context, deadline time.Time) {
+	e.conn.setReadDeadline(deadline)
 	if ctx.Err() != nil { // the new deadline may have replaced that of the cancellation
 		e.conn.expireReads()
 	}
-	return <-e.heads
 }
 
 // stopWriting ends the write after an early response. The error is nil if the write had already succeeded.
