Start the time for a request's head at its first byte on a kept connection

What is seen: a client that had sent one to three bytes of its next request and stopped stayed connected for 2 min; it is owed an error or a close within 3 s, and was not counted as idle when connections were closed to make room.

Cause: on a kept connection net/http starts the time for a head at the fourth byte; before that, the deadline of the idle connection stands.

Change: clientConn sets the deadline of the head at the first byte; an earlier one is kept (limitHead).

Test on the commit before: TestConnectionWithAPartialHeadIsClosedInTime fails for one and three bytes on a kept connection, "still connected 4.0 s after the head stopped"; its six other cases pass. With the change all pass.

--- a/internal/agent/downstream/conn.go
+++ b/internal/agent/downstream/conn.go
@@ -86,13 +86,31 @@
 			n = c.readLate(buffer)
 		}
 		if n > 0 {
-			c.requestBegun.Store(true)
+			if !c.requestBegun.Swap(true) {
+				c.limitHead()
+			}
 			return n, nil
 		}
 		return n, err
 	}
 }
 
+// limitHead limits the time for the rest of a request's head, of which the first bytes have just arrived. The HTTP
+// server does so only from the fourth byte on; with fewer, the connection would still have its time as an idle one. A
+// deadline that is earlier is kept.
+func (c *clientConn) limitHead() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	limit := time.Now().Add(requestHeadTimeout)
+	if !c.readDeadline.IsZero() && c.readDeadline.Before(limit) {
+		return
+	}
+	c.readDeadline = limit
+	if !c.closeIfIdle { // otherwise wokenToClose applies it
+		_ = c.Conn.SetReadDeadline(limit) // fails only if already closed
+	}
+}
+
 // readLate reads bytes that arrived before the deadline but were not read in time because the process was delayed. It
 // does so once per deadline, so that a client gains no time by sending continuously.
 func (c *clientConn) readLate(buffer []byte) int {
