End clients of a discovery instance that stop reading or sending

What is seen: a client that sends requests and reads nothing, or stops in the middle of the body of a write, kept its connection and its descriptor for good.

Cause: an instance limited the time for the head of a request alone. ReadTimeout and WriteTimeout of net/http count from the head and would end a watch, which may wait for 60 s.

Tests on the commit before: TestClientThatNeverReadsIsDisconnected and TestClientThatStopsInABodyIsDisconnected fail on both addresses, "still connected after 15s". With the change both pass. TestWatchOutlivesTheLimitsOfStalledClients passes before and after: it guards against limits that would end a watch.

--- a/internal/discovery/server/node.go
+++ b/internal/discovery/server/node.go
@@ -25,8 +25,6 @@
 const (
 	// httpServerCount is the number of HTTP servers of an instance.
 	httpServerCount = 2
-	// readHeaderTimeout bounds how long a client may take to send a request's header.
-	readHeaderTimeout = 5 * time.Second
 	// shutdownTimeout bounds how long Close waits for Raft, which may be blocked by a failing disk.
 	shutdownTimeout = 5 * time.Second
 )
--- a/internal/listener/write_timeout.go
+++ b/internal/listener/write_timeout.go
@@ -25,3 +25,32 @@
 		}
 	}
 }
+
+// WithWriteTimeout returns a listener whose connections write with WriteWithin.
+func WithWriteTimeout(inner net.Listener, timeout time.Duration) net.Listener {
+	return writeTimeoutListener{Listener: inner, timeout: timeout}
+}
+
+type writeTimeoutListener struct {
+	net.Listener
+	timeout time.Duration
+}
+
+// Accept returns the next connection.
+func (l writeTimeoutListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return writeTimeoutConn{Conn: conn, timeout: l.timeout}, nil
+}
+
+type writeTimeoutConn struct {
+	net.Conn
+	timeout time.Duration
+}
+
+// Write writes with WriteWithin.
+func (c writeTimeoutConn) Write(data []byte) (int, error) {
+	return WriteWithin(c.Conn, data, c.timeout)
+}
