--- a/internal/agent/long_upload_test.go
+++ b/internal/agent/long_upload_test.go
@@ -80,8 +80,8 @@
 	wantNoneAborted(t, agent)
 }
 
-// finalStatusWithin reads a response, which must arrive within the limit and a tolerance for a busy machine, and returns
-// its status code.
+// finalStatusWithin reads a response and returns its status code. The response must arrive within the limit and a
+// tolerance for a busy machine.
 func finalStatusWithin(t *testing.T, client *agenttest.ClientConn, limit time.Duration) int {
 	t.Helper()
 	const tolerance = time.Second
--- a/internal/agent/unreading_client_test.go
+++ b/internal/agent/unreading_client_test.go
@@ -59,8 +59,8 @@
 	}
 }
 
-// sendUntilDisconnected sends requests until the agent closes the connection. It returns how long the agent had accepted
-// none by then.
+// sendUntilDisconnected sends requests until the agent closes the connection, and returns for how long the agent had
+// accepted none by then.
 func sendUntilDisconnected(t *testing.T, client *agenttest.ClientConn, request string) (stalled time.Duration) {
 	t.Helper()
 	accepted := time.Now()
