Derive all that depends on the settings again when they change

Cause: numbers of zones, who opens the watch again, and the membership's fleet size were derived at the start alone. All zones that the settings do not name had one number. The new tests found two more: initial concurrency limits, and the expected response time of a class without responses.

Change: the event loop keeps one configuration that is replaced as a whole (config.WithRuntimeChanges); a zone's number depends on its name alone and never changes; the watch is handed over with the mode; the membership takes a new fleet size. Changed keys that need a start are logged by name, and a fleet without a size is rejected.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -209,6 +209,7 @@
 		cfg:        a.cfg,
 		downstream: a.downstream,
 		loop:       a.loop,
+		membership: a.membership.Load(),
 		drainTime:  downstream.DrainTime(&a.cfg.Settings),
 	}
 	for {
--- a/internal/agent/config/config.go
+++ b/internal/agent/config/config.go
@@ -30,9 +30,6 @@
 	// InitialList is the endpoint list in force until discovery has responded.
 	InitialList endpoint.List
 	Settings    balancer.Settings
-	// Zones and Kinds are the names of zones and machine kinds, indexed by the numbers that the policy uses for them.
-	Zones []string
-	Kinds []string
 	// Membership is the configuration of the membership view that the agents keep; nil if they keep none.
 	Membership *membership.Config
 	// Control selects what the discovery service sends in addition to the list, and from which further addresses. It is
@@ -53,6 +50,7 @@
 	DiscoveryLocalIP net.IP
 
 	document        document           // the decoded file, for comparison with the next one
+	startDocument   document           // the decoded file of the start, once another has replaced it; nil before
 	serviceSettings *endpoint.Settings // settings in force if they came from the discovery service, else nil
 }
 
--- a/internal/agent/config/document.go
+++ b/internal/agent/config/document.go
@@ -1,6 +1,9 @@
 package config
 
-import "maps"
+import (
+	"maps"
+	"strings"
+)
 
 // document is a decoded JSON object. Documents are compared to find keys that a later one lacks, because a missing key
 // would be read as a zero value that nobody has set.
@@ -12,6 +15,19 @@
 	return section, ok
 }
 
+// valueAt returns the value at a path of object keys, or nil if there is none.
+func (d document) valueAt(path []string) any {
+	value := any(map[string]any(d))
+	for _, key := range path {
+		object, _ := value.(map[string]any) // nil, which has no keys, for other types
+		value = object[key]
+	}
+	return value
+}
+
+// joinKeys returns a path of object keys as it appears in messages.
+func joinKeys(path []string) string { return strings.Join(path, ".") }
+
 // withSection returns a copy of the document with the object under a key replaced.
 func (d document) withSection(key string, section document) document {
 	changed := document{}
--- a/internal/agent/config/file.go
+++ b/internal/agent/config/file.go
@@ -230,6 +230,9 @@
 	fleet.Size = c.Settings.FleetSize
 	fleet.Version = buildRevision()
 	c.Membership = fleet
+	if err := c.checkFleetSize(); err != nil {
+		return fmt.Errorf("config: %w", err)
+	}
 	return nil
 }
 
--- a/internal/agent/config/file_test.go
+++ b/internal/agent/config/file_test.go
@@ -58,7 +58,7 @@
 		t.Fatal(err)
 	}
 	if cfg.Listen != "127.0.0.1:9" || cfg.Discovery != "127.0.0.1:2" || cfg.Seed != 0x8c1f30d27a5be964 ||
-		cfg.InitialList.Version != 4 || cfg.Cores != 0.5 || len(cfg.Zones) != 2 || len(cfg.Settings.Classes) != 3 {
+		cfg.InitialList.Version != 4 || cfg.Cores != 0.5 || len(cfg.Settings.Zones) != 2 || len(cfg.Settings.Classes) != 3 {
 		t.Errorf("parsed as %+v", cfg)
 	}
 	for _, bad := range []replacement{
--- a/internal/agent/config/settings.go
+++ b/internal/agent/config/settings.go
@@ -26,17 +26,7 @@
 	if err != nil {
 		return err
 	}
-	// The policy uses numbers for zones and kinds; discovery uses these names.
-	var names struct {
-		Zones []string `json:"failureDomains"`
-		Kinds []string `json:"shapes"`
-	}
-	if err := json.Unmarshal(text, &names); err != nil {
-		return fmt.Errorf("settings: %w", err)
-	}
 	c.Settings = settings
-	c.Zones = names.Zones
-	c.Kinds = names.Kinds
 	_, err = policy.New(c.Settings, c.Seed)
 	return err
 }
@@ -55,15 +45,18 @@
 	if key := ownObject.missingIn(object); key != "" {
 		return nil, fmt.Errorf("settings: %s: missing, though it was there before", key)
 	}
-	next := *c
-	if err := next.parseSettings(settings.Value); err != nil {
+	var parsed Config
+	parsed.Seed = c.Seed
+	if err := parsed.parseSettings(settings.Value); err != nil {
 		return nil, err
 	}
-	next.Settings.Index = c.Settings.Index
-	next.Settings.Zone = c.Settings.Zone
+	parsed.Settings.Index = c.Settings.Index
+	parsed.Settings.Zone = c.Settings.Zone
+	parsed.serviceSettings = settings
+	next := *c
+	next.useSettingsOf(&parsed)
 	next.document = c.document.withSection(settingsKey, object)
-	next.serviceSettings = settings
-	return &next, nil
+	return &next, next.checkFleetSize()
 }
 
 // KeepServiceSettings returns c, which was read from a file. If the settings in force came from the discovery service,
--- a/internal/agent/dispatch/endpoint_list.go
+++ b/internal/agent/dispatch/endpoint_list.go
@@ -21,26 +21,28 @@
 
 // endpointList holds the servers listed by discovery, by id and by policy address. Only the event loop may use it.
 type endpointList struct {
-	zones, kinds map[string]int // indexes of the names, as used by the policy
+	zones, kinds nameNumbers
 	byID         map[string]*listedServer
 	byAddr       map[balancer.Addr]*listedServer
 }
 
-func newEndpointList(zones, kinds []string) *endpointList {
+func newEndpointList(settings *balancer.Settings) *endpointList {
 	return &endpointList{
-		zones:  indexNames(zones),
-		kinds:  indexNames(kinds),
+		zones:  newNameNumbers(settings.Zones),
+		kinds:  newNameNumbers(settings.Kinds),
 		byID:   map[string]*listedServer{},
 		byAddr: map[balancer.Addr]*listedServer{},
 	}
 }
 
-func indexNames(names []string) map[string]int {
-	index := map[string]int{}
-	for i, name := range names {
-		index[name] = i
+// policySettings returns settings with the agent's zone as a number of the policy.
+func (l *endpointList) policySettings(settings balancer.Settings) balancer.Settings {
+	if settings.Zone >= 0 && settings.Zone < len(settings.Zones) {
+		settings.Zone = l.zones.number(settings.Zones[settings.Zone])
+	} else {
+		settings.Zone = unknownZone
 	}
-	return index
+	return settings
 }
 
 // findOrAdd returns the server with the given id, adding it if necessary. The policy address is derived from the id
@@ -116,8 +118,8 @@
 	}
 	changes.endpoints = append(changes.endpoints, balancer.Endpoint{
 		Server:    server.policyAddr,
-		Zone:      indexOf(l.zones, entry.Zone),
-		Kind:      indexOf(l.kinds, entry.Kind),
+		Zone:      l.zones.number(entry.Zone),
+		Kind:      l.kinds.number(entry.Kind),
 		Cell:      entry.Cell,
 		StartedMs: startedMs,
 		Weight:    entry.Weight,
@@ -151,14 +153,6 @@
 	return balancer.Draining
 }
 
-// indexOf returns the index of a name, or the number of names for one that the settings do not contain.
-func indexOf(index map[string]int, name string) int {
-	if i, ok := index[name]; ok {
-		return i
-	}
-	return len(index)
-}
-
 // forget drops a removed server once nothing is in flight to it. By then the policy has already dropped the server.
 func (l *endpointList) forget(server *listedServer) {
 	if server.removed && server.inFlight == 0 && l.byID[server.id] == server {
--- a/internal/agent/dispatch/endpoint_list_test.go
+++ b/internal/agent/dispatch/endpoint_list_test.go
@@ -5,6 +5,7 @@
 
 	"fernbeam.example/fernbeam/internal/agent/agenttest"
 	"fernbeam.example/fernbeam/internal/agent/discovery"
+	"fernbeam.example/fernbeam/internal/balancer"
 	"fernbeam.example/fernbeam/internal/endpoint"
 )
 
@@ -80,7 +81,7 @@
 }
 
 func TestPolicyAddressesAreStableAndUnique(t *testing.T) {
-	first, second := newEndpointList(nil, nil), newEndpointList(nil, nil)
+	first, second := newEndpointList(new(balancer.Settings)), newEndpointList(new(balancer.Settings))
 	server := second.findOrAdd("s-1")
 	if first.findOrAdd("s-1").policyAddr != server.policyAddr {
 		t.Error("two agents use different policy addresses for the same server")
--- a/internal/agent/dispatch/list_updates.go
+++ b/internal/agent/dispatch/list_updates.go
@@ -8,14 +8,6 @@
 	"fernbeam.example/fernbeam/internal/endpoint"
 )
 
-// openWatch opens a watch unless one is already open, because a second one would return the same changes.
-func (l *Loop) openWatch() {
-	if !l.list.watching {
-		l.list.watching = true
-		go l.discovery.Watch(l.ctx)
-	}
-}
-
 // fetchList polls for the full list unless a poll is in flight.
 func (l *Loop) fetchList() {
 	if !l.list.fetching {
@@ -87,23 +79,15 @@
 func (l *Loop) onListFailed(response discovery.Response) {
 	l.metrics.ListFailures++
 	l.logger.logLimited(slog.LevelWarn, "discovery call failed", "watch", response.Watch, "err", response.Err)
-	if response.Watch && l.ownsWatch() {
+	if response.Watch && l.list.watch.kept {
 		return
 	}
 	if response.Watch {
-		l.list.watching = false
+		l.list.watch.open = false
 	}
 	l.handle(&balancer.Event{Kind: balancer.EventList, ListUpdate: balancer.ListFailed})
 }
 
-// ownsWatch reports whether the agent maintains a watch itself rather than at the request of the policy.
-func (l *Loop) ownsWatch() bool { return l.discovery.KeepsOwnWatch() || l.changesArePushed() }
-
-// changesArePushed reports whether list changes arrive without a request of the policy.
-func (l *Loop) changesArePushed() bool {
-	return l.cfg.Settings.DiscoveryMode == balancer.DiscoveryPushed
-}
-
 // applyList puts a list in force.
 func (l *Loop) applyList(list *endpoint.List, update balancer.ListUpdate, origin listOrigin) {
 	l.list.version = list.Version
--- a/internal/agent/dispatch/loop.go
+++ b/internal/agent/dispatch/loop.go
@@ -28,7 +28,7 @@
 
 // Loop owns the policy, the endpoint list and the state of all requests. Other goroutines access them through Post.
 type Loop struct {
-	cfg *config.Config
+	cfg *config.Config // in force; replaced as a whole
 	//nolint:containedctx // Post must not block once the loop has ended
 	ctx       context.Context
 	balancer  *policy.Balancer
@@ -55,9 +55,9 @@
 type listState struct {
 	version         uint64
 	source          *discovery.Source // the source that version belongs to
-	watching        bool              // a watch is open
-	fetching        bool              // a fetch is in flight
-	notifiedVersion uint64            // the last version passed to Hooks.OnList
+	watch           listWatch
+	fetching        bool   // a fetch is in flight
+	notifiedVersion uint64 // the last version passed to Hooks.OnList
 }
 
 // publishedState is the part of the loop's state that other goroutines may read.
@@ -79,17 +79,17 @@
 
 // New returns a Loop that ends when ctx is done. It returns an error if the policy does not accept the settings.
 func New(ctx context.Context, cfg *config.Config, options Options) (*Loop, error) {
-	decisions, err := policy.New(cfg.Settings, cfg.Seed)
+	endpoints := newEndpointList(&cfg.Settings)
+	decisions, err := policy.New(endpoints.policySettings(cfg.Settings), cfg.Seed)
 	if err != nil {
 		return nil, err
 	}
-	ownConfig := *cfg // copied because the loop modifies its settings
 	eventTime := newEventClock(cfg.SystemClock())
 	l := &Loop{
-		cfg:            &ownConfig,
+		cfg:            cfg,
 		ctx:            ctx,
 		balancer:       decisions,
-		endpoints:      newEndpointList(cfg.Zones, cfg.Kinds),
+		endpoints:      endpoints,
 		pool:           options.Pool,
 		clock:          eventTime,
 		inbox:          make(chan func(), inboxSize),
@@ -153,8 +153,7 @@
 		l.onServersReady()
 	}
 	if l.ownsWatch() {
-		l.list.watching = true
-		go l.discovery.KeepWatch(l.ctx)
+		l.keepWatch()
 	}
 }
 
--- a/internal/agent/dispatch/settings.go
+++ b/internal/agent/dispatch/settings.go
@@ -38,15 +38,16 @@
 // rejection may no longer exist.
 func (l *Loop) ForgetRejectedSettings() { l.discovery.ForgetRejectedSettings() }
 
-// applyConfig applies the parts of a configuration that can change at run time: the settings and the addresses of
-// discovery. On an error the previous ones stay in force.
+// applyConfig puts a configuration in force as a whole. On an error the previous one stays in force. The configuration
+// may differ from that one only in what can change at run time (config.Config.WithRuntimeChanges).
 func (l *Loop) applyConfig(cfg *config.Config) error {
-	if err := l.balancer.UpdateSettings(cfg.Settings); err != nil {
+	if err := l.balancer.UpdateSettings(l.endpoints.policySettings(cfg.Settings)); err != nil {
 		// The configuration was validated as a whole, so it is applied completely or not at all.
 		l.logger.log(slog.LevelError, "settings not applied", "err", err)
 		return err
 	}
-	l.cfg.Settings = cfg.Settings
+	previous := l.cfg
+	l.cfg = cfg
 	l.pool.ApplySettings(cfg)
 	version := cfg.SettingsVersion()
 	if l.published.settingsVersion.Swap(version) != version {
@@ -56,7 +57,8 @@
 	if onSettings := l.cfg.Hooks.OnSettings; onSettings != nil {
 		onSettings(version)
 	}
-	l.moveDiscovery(cfg)
+	l.moveDiscovery(previous)
+	l.followDiscoveryMode()
 	return nil
 }
 
@@ -69,20 +71,13 @@
 	l.logger.log(slog.LevelInfo, "settings applied", args...)
 }
 
-// moveDiscovery switches to the discovery addresses of a configuration if they differ from those in force.
-func (l *Loop) moveDiscovery(cfg *config.Config) {
-	next := *l.cfg
-	next.Discovery = cfg.Discovery
-	if l.cfg.Control != nil && cfg.Control != nil { // the section can't be added at run time
-		next.Control = &config.Control{Service: l.cfg.Control.Service, Addresses: cfg.Control.Addresses}
-	}
-	from, to := l.cfg.DiscoveryAddresses(), next.DiscoveryAddresses()
+// moveDiscovery calls the discovery addresses of the configuration in force if they differ from the previous ones.
+func (l *Loop) moveDiscovery(previous *config.Config) {
+	from, to := previous.DiscoveryAddresses(), l.cfg.DiscoveryAddresses()
 	if slices.Equal(from, to) {
 		return
 	}
 	l.logger.log(slog.LevelInfo, "discovery moved", "from", strings.Join(from, ","), "to", strings.Join(to, ","))
-	l.cfg.Discovery = next.Discovery
-	l.cfg.Control = next.Control
 	l.discovery.MoveTo(to...)
 }
 
--- a/internal/agent/reload.go
+++ b/internal/agent/reload.go
@@ -2,12 +2,14 @@
 
 import (
 	"log/slog"
+	"strings"
 	"time"
 
 	"fernbeam.example/fernbeam/internal/agent/config"
 	"fernbeam.example/fernbeam/internal/agent/dispatch"
 	"fernbeam.example/fernbeam/internal/agent/downstream"
 	"fernbeam.example/fernbeam/internal/endpoint"
+	"fernbeam.example/fernbeam/internal/membership"
 )
 
 // activeConfig is the configuration in force. It is used only by the goroutine that applies reloads.
@@ -15,7 +17,8 @@
 	cfg        *config.Config
 	downstream *downstream.Server
 	loop       *dispatch.Loop
-	drainTime  time.Duration // how long a shutdown waits for open requests; see downstream.DrainTime
+	membership *membership.Membership // nil if there is none
+	drainTime  time.Duration          // how long a shutdown waits for open requests; see downstream.DrainTime
 }
 
 // settingsUpdate passes settings from the watch of the discovery service to the goroutine that applies reloads.
@@ -35,6 +38,10 @@
 		a.loop.Log(slog.LevelInfo, "settings of the file superseded by the service's",
 			"version", version)
 	}
+	next = a.cfg.WithRuntimeChanges(next)
+	if pending := next.PendingKeys(); len(pending) > 0 {
+		a.loop.Log(slog.LevelWarn, "changed keys take effect at the next start", "keys", strings.Join(pending, ","))
+	}
 	a.replace(next)
 	a.loop.ApplyConfig(next)
 	a.loop.ForgetRejectedSettings()
@@ -57,4 +64,7 @@
 	a.drainTime = max(a.drainTime, downstream.DrainTime(&next.Settings)) // open requests keep their deadlines
 	a.cfg = next
 	a.downstream.ApplySettings(next)
+	if a.membership != nil {
+		a.membership.SetFleetSize(next.Settings.FleetSize)
+	}
 }
--- a/internal/balancer/settings.go
+++ b/internal/balancer/settings.go
@@ -145,10 +145,13 @@
 	FamilyInfo struct {
 		WarmKeys bool `json:"warmKeys"` // servers need less work for keys that they have served before
 	} `json:"familyInfo"`
+	// Zones and Kinds are the names of the zones and of the machine kinds. The policy itself uses numbers.
+	Zones       []string       `json:"failureDomains"`
+	Kinds       []string       `json:"shapes"`
 	Index       int            `json:"index"`        // of this agent
 	FleetSize   int            `json:"replicasOfMe"` // number of agents; 0: unknown
 	RoundTripMs float64        `json:"roundMs"`      // between agent and client, and between agent and server
 	Weights     WeightAccuracy `json:"weights"`
 	WeightBy    WeightBasis    `json:"worthBy"`
-	Zone        int            `json:"zone"` // of this agent
+	Zone        int            `json:"zone"` // of this agent: an index into Zones
 }
--- a/internal/membership/config.go
+++ b/internal/membership/config.go
@@ -8,6 +8,7 @@
 	"math"
 	"net"
 	"net/netip"
+	"sync/atomic"
 	"time"
 
 	"fernbeam.example/fernbeam/internal/clock"
@@ -78,7 +79,7 @@
 	// Name is the agent's name, the same at each start. It is set by the agent and not by the section, as are the
 	// fields below.
 	Name string `json:"-"`
-	// Size is the fleet size: the number of agents according to the service settings (replicasOfMe).
+	// Size is the fleet size at the start: the number of agents according to the service settings (replicasOfMe).
 	Size int `json:"-"`
 	// Version is the program version of this process.
 	Version string `json:"-"`
@@ -88,6 +89,8 @@
 	Clock clock.Clock `json:"-"`
 	// Log is the logger of this process; if nil, slog.Default().
 	Log *slog.Logger `json:"-"`
+
+	changedSize *atomic.Int64 // the fleet size that has replaced Size; 0 or nil if none has
 }
 
 // Parse decodes section "fleet" of the agent's configuration, sets defaults and checks the values. Any error is a
@@ -244,7 +247,15 @@
 }
 
 // maxMembers returns the maximum number of known members.
-func (c *Config) maxMembers() int { return max(maxMembersFactor*c.Size, minMaxMembers) }
+func (c *Config) maxMembers() int { return max(maxMembersFactor*c.fleetSize(), minMaxMembers) }
+
+// fleetSize returns the fleet size in force.
+func (c *Config) fleetSize() int {
+	if c.changedSize == nil || c.changedSize.Load() == 0 {
+		return c.Size
+	}
+	return int(c.changedSize.Load())
+}
 
 // networks returns Networks, parsed; complete has checked them.
 func (c *Config) networks() []net.IPNet {
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -29,6 +29,7 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -109,6 +110,7 @@
 	if cfg.Log == nil {
 		cfg.Log = slog.Default()
 	}
+	cfg.changedSize = new(atomic.Int64)
 	m := &Membership{
 		cfg:         cfg,
 		process:     newProcessID(),
@@ -218,6 +220,22 @@
 // Snapshot returns the current snapshot.
 func (m *Membership) Snapshot() *Snapshot { return m.snapshot.Load() }
 
+// SetFleetSize changes the fleet size. The snapshot follows in the background, like a change of a member.
+func (m *Membership) SetFleetSize(size int) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if size < 1 || size == m.cfg.fleetSize() {
+		return
+	}
+	m.cfg.changedSize.Store(int64(size))
+	if m.list.Load() == nil { // nothing reads the list yet
+		m.table.replaceSnapshot(slices.Clone(m.table.snapshot.Members), time.Now())
+		m.snapshot.Store(m.table.snapshot)
+		return
+	}
+	m.notifyListChanged()
+}
+
 // SetDraining sets whether this agent is draining, and announces a change in the background.
 func (m *Membership) SetDraining(on bool) {
 	if m.draining.Swap(on) == on {
--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -9,6 +9,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"fernbeam.example/fernbeam/internal/testaddr"
 )
 
 // TestParseErrorsNameTheKey checks that an error of Parse is a single line that names the key.
@@ -192,3 +194,42 @@
 		_ = checkStream(message, 8) // must not panic
 	}
 }
+
+// TestFleetSizeChanges checks that a changed fleet size is in the next snapshot although no member has changed, and
+// that the assessment follows it. Guards against an agent that counts the majority of a fleet as large as at its start.
+func TestFleetSizeChanges(t *testing.T) {
+	const sizeTimeout = 10 * time.Second
+	cfg := Config{Name: "a", Bind: testaddr.Reserve(t), Site: "test", Size: 1}
+	m, err := Start(cfg)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer m.Kill()
+	awaitSize := func(size int) *Snapshot {
+		t.Helper()
+		await(t, sizeTimeout, "the fleet size", func() bool { return m.Snapshot().Size == size })
+		return m.Snapshot()
+	}
+	await(t, sizeTimeout, "a majority of one", func() bool { return m.Snapshot().Assess(time.Now()).Quorate })
+	m.SetFleetSize(3)
+	larger := awaitSize(3)
+	if assessment := larger.Assess(time.Now()); assessment.Quorate || assessment.AtMost != 3 || assessment.Settled {
+		t.Errorf("one of three agents just after the change: %+v", assessment)
+	}
+	m.SetFleetSize(0)
+	m.SetFleetSize(1)
+	awaitSize(1)
+}
+
+// TestFleetSizeChangesBeforeTheAddressIsBound checks that a process that still waits for its address has the changed
+// fleet size.
+func TestFleetSizeChangesBeforeTheAddressIsBound(t *testing.T) {
+	m, err := newMembership(Config{Name: "a", Bind: "127.0.0.1:1", Site: "test", Size: 1})
+	if err != nil {
+		t.Fatal(err)
+	}
+	m.SetFleetSize(3)
+	if size := m.Snapshot().Size; size != 3 {
+		t.Errorf("fleet size %d, want 3", size)
+	}
+}
--- a/internal/membership/membertable.go
+++ b/internal/membership/membertable.go
@@ -60,7 +60,7 @@
 		Self:       t.cfg.Name,
 		Process:    t.process,
 		Site:       t.cfg.Site,
-		Size:       t.cfg.Size,
+		Size:       t.cfg.fleetSize(),
 		Members:    members,
 		settleTime: milliseconds(t.cfg.SettleMs),
 		changedAt:  now,
@@ -78,7 +78,7 @@
 	return snapshot
 }
 
-// update applies memberlist's list and reports whether the snapshot changed.
+// update applies memberlist's list and the fleet size, and reports whether the snapshot changed.
 func (t *memberTable) update(list []Member, now time.Time) bool {
 	members := make([]Member, 0, len(list))
 	listed := make(map[string]bool, len(list))
@@ -103,7 +103,7 @@
 			changes = append(changes, *change)
 		}
 	}
-	if len(changes) == 0 {
+	if len(changes) == 0 && t.snapshot.Size == t.cfg.fleetSize() {
 		return false
 	}
 	t.replaceSnapshot(members, now)
--- a/policy/classes.go
+++ b/policy/classes.go
@@ -22,6 +22,7 @@
 type class struct {
 	balancer.Class
 	expectedMs       float64 // moving mean of response times
+	measured         bool    // expectedMs includes a response
 	requestShare     float64 // fraction of all recent requests that are of this class
 	inTimeShare      float64 // fraction of all recent requests that are of this class and met its objective
 	longestTimeoutMs float64 // longest remaining time of any request at its arrival
@@ -61,7 +62,10 @@
 			return c
 		}
 		if c.Name == rules.Name {
-			found.expectedMs = c.expectedMs
+			if c.measured {
+				found.expectedMs = c.expectedMs
+				found.measured = true
+			}
 			found.requestShare = c.requestShare
 			found.inTimeShare = c.inTimeShare
 		}
@@ -90,6 +94,7 @@
 
 // recordResponseTime adds a response time, in milliseconds, to the mean of the class.
 func (c *class) recordResponseTime(responseMs float64) {
+	c.measured = true
 	bounded := min(responseMs, maxLatency*c.LatencyObjectiveMs)
 	c.expectedMs = movingMean(c.expectedMs, bounded, expectedSmoothing)
 }
--- a/policy/concurrency.go
+++ b/policy/concurrency.go
@@ -70,6 +70,7 @@
 	inFlight           int
 	limit              float64 // attempts that may be in flight at all servers
 	limitDecreasedAt   float64 // when the limit was last decreased; 0: never
+	limitAdjusted      bool    // the limit has been adjusted by the load of a response
 	overloadedFraction float64 // part of the recent responses that came from overloaded servers
 	forwards           forwardTimes
 }
@@ -81,6 +82,24 @@
 	c.limit += initialFleetAttempts * c.slowStart.fraction(s) / furtherAgents
 }
 
+// updateInitialLimits derives the limits that no response has adjusted yet from the settings in force.
+// previous are the settings from which they were derived before.
+func (c *concurrencyLimits) updateInitialLimits(previous *balancer.Settings) {
+	before, now := initialServerLimit(previous), initialServerLimit(&c.env.settings)
+	for _, s := range c.endpoints.servers {
+		if s.limit == before && s.limitDecreasedAt == 0 {
+			s.limit = now
+		}
+	}
+	if c.limitAdjusted {
+		return
+	}
+	c.limit = 0
+	for _, s := range c.endpoints.servers {
+		c.addServer(s)
+	}
+}
+
 // begin counts an attempt as in flight at its server.
 func (c *concurrencyLimits) begin(a *attempt) {
 	a.fullySent = true
@@ -136,8 +155,10 @@
 		floor := float64(len(c.endpoints.servers)) / c.env.fleetSize()
 		c.limit = max(min(c.limit, inFlight)*overloadDecrease, floor, minLimit)
 		c.limitDecreasedAt = c.env.now
+		c.limitAdjusted = true
 	case c.overloadedFraction < overloadedMajority && inFlight+1 > c.limit:
 		c.limit += limitStep
+		c.limitAdjusted = true
 	}
 }
 
--- a/policy/endpoints.go
+++ b/policy/endpoints.go
@@ -27,6 +27,11 @@
 	unhealthyEpoch uint64
 }
 
+// initialServerLimit returns the initial concurrency limit of a new server.
+func initialServerLimit(settings *balancer.Settings) float64 {
+	return float64(max(initialLimit, initialFleetLimit/max(settings.FleetSize, 1)))
+}
+
 // newEndpointList returns an empty list.
 func newEndpointList(env *environment) *endpointList {
 	return &endpointList{env: env, byAddress: map[balancer.Addr]*server{}}
@@ -62,7 +67,7 @@
 		startedAt:       min(startedAt, l.env.now),
 		listedStart:     startedAt,
 		slowStartCredit: l.env.random.Float64(),
-		limit:           float64(max(initialLimit, initialFleetLimit/max(l.env.settings.FleetSize, 1))),
+		limit:           initialServerLimit(&l.env.settings),
 	}
 	l.byAddress[address] = s
 	i, _ := slices.BinarySearchFunc(l.servers, s, compareAddress)
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -106,19 +106,26 @@
 }
 
 // UpdateSettings puts settings in force, or returns an error that names the first invalid one. Collected
-// statistics are kept, and open requests keep the rules of their classes.
+// statistics are kept, and open requests keep the rules of their classes. Initial values that no response
+// has changed yet are derived from the new settings. If the discovery mode has changed, Start has to be
+// called again.
 func (b *Balancer) UpdateSettings(settings balancer.Settings) error {
 	if err := settings.Validate(); err != nil {
 		return err
 	}
+	previous := b.settings
 	b.classes.replace(settings.Classes)
 	b.settings = settings
 	b.slowStart.invalidate()
+	if previous.FleetSize != settings.FleetSize || previous.Contract != settings.Contract {
+		b.concurrency.updateInitialLimits(&previous)
+	}
 	return nil
 }
 
-// Start appends the initial actions of an agent to actions and returns the extended slice. The time
-// now is in milliseconds.
+// Start appends the actions with which an agent begins to follow the endpoint list, at its start and after
+// a change of the discovery mode, to actions and returns the extended slice. The time now is in
+// milliseconds.
 func (b *Balancer) Start(now float64, actions []balancer.Action) []balancer.Action {
 	b.now = now
 	b.actions = actions
