Serve reads of discovery for max_stale after a confirmed read index, not after a contact

Cause: the list counted as complete as of the last contact with a leader, and a leader's by its state alone. Heartbeats carry no entries and pass up to 10 s before the missed ones; a message received now may be from before a stop; a leader that was stopped does not know of its successor.

Change: an instance serves reads for max_stale after the start of its last confirmation, a read index: the leader shows by a round of heartbeats that it still is the leader (VerifyLeader, no log entry) and tells what it has applied, and the instance applies as much (confirmation.go). Renewed four times in max_stale in the background, and at once for a read that finds none. This works as the time counts from before the question. Reads, watches and settings use the same check.

--- a/internal/discovery/server/catch_up.go
+++ b/internal/discovery/server/catch_up.go
@@ -45,14 +45,6 @@
 	return n.awaitCondition(context.Background(), catchUpTimeout, catchUpInterval, hasApplied)
 }
 
-// awaitCaughtUp waits up to readIndexTimeout for this instance to catch up, for example after a
-// start, and reports whether it has. It returns early if the store is unavailable or ctx is done.
-func (n *Node) awaitCaughtUp(ctx context.Context) bool {
-	caughtUp := func() bool { return n.store.behindSince().IsZero() }
-	caughtUpOrOutage := func() bool { return caughtUp() || n.store.available() != nil }
-	return n.awaitCondition(ctx, readIndexTimeout, readWaitInterval, caughtUpOrOutage) && caughtUp()
-}
-
 // awaitCondition checks a condition immediately and then at an interval. It reports whether the
 // condition was met before the timeout, before ctx was done and before the instance was closed. It is
 // for conditions whose change causes no event: hashicorp/raft does not signal changes of the applied
--- a/internal/discovery/server/freshness.go
+++ b/internal/discovery/server/freshness.go
@@ -17,7 +17,7 @@
 // request's context.
 func (n *Node) rejectIfStale(ctx context.Context, w http.ResponseWriter) (time.Duration, bool) {
 	remaining, err := n.freshness()
-	if err != nil && n.awaitCaughtUp(ctx) {
+	if err != nil && n.awaitFresh(ctx) {
 		remaining, err = n.freshness()
 	}
 	if err != nil {
@@ -26,22 +26,16 @@
 	return remaining, err != nil
 }
 
-// freshness returns how long this instance may serve reads without further contact with the leader,
-// or an error if it may not serve reads. It may serve them while it is the leader, and for MaxStale
-// after its last contact with a leader.
+// freshness returns how long this instance may serve reads without a further confirmation, or an error
+// if it may not serve reads. It may serve them for MaxStale after the start of the last confirmation; see
+// renewFreshness.
 //
 // From the start of a store outage until this instance has caught up, the list counts as last updated
 // at the start of the outage. From a start of the instance until it has caught up, the list counts as
 // older than MaxStale.
 func (n *Node) freshness() (time.Duration, error) {
-	freshAt := n.raft.LastContact()
+	freshAt := n.confirmations.freshAt()
 	behindSince := n.store.behindSince()
-	if n.isLeader() {
-		if behindSince.IsZero() {
-			return min(n.cfg.MaxStale, n.leaderLease()), nil
-		}
-		freshAt = time.Now()
-	}
 	if !behindSince.IsZero() && behindSince.Before(freshAt) {
 		freshAt = behindSince
 	}
@@ -55,7 +49,7 @@
 // staleError returns the reason why this instance may not serve reads.
 func (n *Node) staleError(behindSince time.Time) error {
 	if behindSince.IsZero() {
-		return n.instanceError("no leader heard within %v", n.cfg.MaxStale)
+		return n.instanceError("no leader has confirmed the list within %v", n.cfg.MaxStale)
 	}
 	return n.instanceError("not caught up with the leader after a start or an outage of the store")
 }
--- a/internal/discovery/server/node.go
+++ b/internal/discovery/server/node.go
@@ -36,9 +36,13 @@
 	state     *stateMachine
 	reports   *reportRegistry
 	readIndex readIndexCache
-	raft      *raft.Raft
-	store     *retryingStore
-	peers     map[raft.ServerID]Peer // this instance included
+	// confirmations tell how fresh the list is; a value in confirmationRequests asks for one now.
+	confirmations        confirmations
+	confirmationRequests chan struct{}
+
+	raft  *raft.Raft
+	store *retryingStore
+	peers map[raft.ServerID]Peer // this instance included
 
 	httpServers []*http.Server
 	serving     sync.WaitGroup // the goroutines that run httpServers
@@ -67,6 +71,7 @@
 	if err := n.startRaft(); err != nil {
 		return nil, err
 	}
+	go n.renewFreshness()
 	if err := n.startHTTP(); err != nil {
 		_ = n.Close() // err is the cause
 		return nil, err
@@ -83,7 +88,10 @@
 		reports: newReportRegistry(),
 		peers:   map[raft.ServerID]Peer{},
 		failed:  make(chan error, httpServerCount),
-		closed:  make(chan struct{}),
+
+		confirmationRequests: make(chan struct{}, 1),
+
+		closed: make(chan struct{}),
 	}
 	n.readIndex.limiter = rate.NewLimiter(readIndexesPerSecond, 1)
 	for _, peer := range cfg.Peers {
--- a/internal/discovery/server/read_index.go
+++ b/internal/discovery/server/read_index.go
@@ -84,21 +84,21 @@
 		}
 		return progress{version: n.state.currentVersion(), applied: n.raft.AppliedIndex()}, nil
 	}
-	leader, err := n.leaderStatus(ctx)
+	leader, err := n.leaderStatus(ctx, endpoint.QueryConsistent)
 	if err != nil {
 		return progress{}, err
 	}
 	return progress{version: leader.Version, applied: leader.Applied}, nil
 }
 
-// leaderStatus requests the leader's status after a barrier.
-func (n *Node) leaderStatus(ctx context.Context) (Status, error) {
+// leaderStatus requests the leader's status, with a query parameter that says how it is confirmed.
+func (n *Node) leaderStatus(ctx context.Context, parameter string) (Status, error) {
 	var status Status
 	leader, err := n.leader()
 	if err != nil {
 		return status, err
 	}
-	url := "http://" + leader.AdminAddr + endpoint.StatusPath + "?" + endpoint.QueryConsistent + "=true"
+	url := "http://" + leader.AdminAddr + endpoint.StatusPath + "?" + parameter + "=true"
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, http.NoBody)
 	if err != nil {
 		return status, err
--- a/internal/discovery/server/watch_bench_test.go
+++ b/internal/discovery/server/watch_bench_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
 	"slices"
 	"sync"
@@ -62,6 +63,33 @@
 	fanout.watching.Wait()
 }
 
+// BenchmarkReadAtFollower measures a read of the full list at a follower, on a connection that is kept.
+func BenchmarkReadAtFollower(b *testing.B) {
+	configs, nodes := startThreeNodes(b, time.Second)
+	mustAwait(b, "a first write", func() bool { return putServer(configs[0].AdminAddr, warmupServerID) != 0 })
+	follower := slices.IndexFunc(configs, func(c server.Config) bool {
+		return statusAt(c.AdminAddr).State == server.StateFollower
+	})
+	if follower < 0 {
+		b.Fatalf("no follower among %d instances", len(nodes))
+	}
+	mustAwait(b, "the list at the follower", func() bool {
+		_, served := fetchList(configs[follower].HTTPAddr)
+		return served
+	})
+	b.ResetTimer()
+	for range b.N {
+		resp, err := get(b.Context(), httpClient, configs[follower].HTTPAddr+endpoint.ListPath)
+		if err != nil {
+			b.Fatal(err)
+		}
+		if _, err := io.Copy(io.Discard, resp.Body); err != nil || resp.StatusCode != http.StatusOK {
+			b.Fatalf("status %d, %v", resp.StatusCode, err)
+		}
+		closeBody(resp)
+	}
+}
+
 // milliseconds returns a duration in ms.
 func milliseconds(d time.Duration) float64 { return d.Seconds() * 1000 }
 
--- a/internal/endpoint/endpoint.go
+++ b/internal/endpoint/endpoint.go
@@ -50,6 +50,9 @@
 const (
 	// QueryConsistent, if "true", requests the leader's status after it has applied all committed writes.
 	QueryConsistent = "consistent"
+	// QueryVerified, if "true", requests the leader's status after a round of heartbeats, which shows that it still is
+	// the leader.
+	QueryVerified = "verified"
 	// QueryVersion requests a stored version of a service's settings; absent: the newest.
 	QueryVersion = "version"
 )
