--- a/internal/agent/config/settings.go
+++ b/internal/agent/config/settings.go
@@ -56,7 +56,10 @@
 	next := *c
 	next.useSettingsOf(&parsed)
 	next.document = c.document.withSection(settingsKey, object)
-	return &next, next.checkFleetSize()
+	if err := next.checkFleetSize(); err != nil {
+		return nil, err
+	}
+	return &next, nil
 }
 
 // KeepServiceSettings returns c, which was read from a file. If the settings in force came from the discovery service,
