--- a/internal/processtest/usage.go
+++ b/internal/processtest/usage.go
@@ -25,7 +25,7 @@
 	clockTick      = 10 * time.Millisecond
 )
 
-const kilobytesPerMB = 1 << 10
+const kilobytesPerMB, bytesPerKilobyte = 1 << 10, 1 << 10
 
 // ProcessUsage reads the resource usage of a running process from /proc (proc(5)).
 func ProcessUsage(pid int) (Usage, error) {
@@ -80,3 +80,19 @@
 	}
 	return 0
 }
+
+// PeakMemory returns the most resident memory that a running process has had, in bytes, from /proc/PID/status (proc(5)).
+func PeakMemory(pid int) (int64, error) {
+	path := fmt.Sprintf("/proc/%d/status", pid)
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return 0, err
+	}
+	for line := range strings.Lines(string(text)) {
+		var kilobytes int64
+		if n, _ := fmt.Sscanf(line, "VmHWM: %d kB", &kilobytes); n == 1 { // ignore the error: other lines do not match
+			return kilobytes * bytesPerKilobyte, nil
+		}
+	}
+	return 0, fmt.Errorf("%s has no line VmHWM", path)
+}
