Answer 504 when an attempt ran out of time, whether or not the backstop was first

Callers got 502 or 504 for the same request, by chance: the attempt of a streamed request and the backstop have the same deadline, and only the backstop answered 504. The policy's failure after an attempt that timed out is answered 504 too now.

--- a/internal/agent/dispatch/attempt.go
+++ b/internal/agent/dispatch/attempt.go
@@ -149,6 +149,7 @@
 		r.mayHaveExecuted--
 	}
 	r.badRequest = result.Status == balancer.StatusBadRequest
+	r.timedOut = result.Status == balancer.StatusTimeout
 	r.sendingBody = false
 	l.respondTo(r, result)
 	l.handle(&balancer.Event{
--- a/internal/agent/dispatch/loop.go
+++ b/internal/agent/dispatch/loop.go
@@ -192,7 +192,7 @@
 		}
 	case balancer.ActionFail:
 		if r := l.requests.byID[action.Request]; r != nil {
-			l.finish(r, message.Response{Kind: message.Failed, BadRequest: r.badRequest})
+			l.finish(r, message.Response{Kind: message.Failed, BadRequest: r.badRequest, TimedOut: r.timedOut})
 		}
 	case balancer.ActionSetTimer:
 		l.setTimer(action)
--- a/internal/agent/dispatch/request.go
+++ b/internal/agent/dispatch/request.go
@@ -30,6 +30,7 @@
 	mayHaveExecuted int       // attempts that are in flight or may have executed
 	firstSentAt     time.Time // when the first of those started
 	badRequest      bool      // the server of the last attempt found the request invalid
+	timedOut        bool      // the last attempt got no response in its time
 	backstop        *time.Timer
 }
 
