Keep all that grows with clients and servers inside budgets derived from memory_mb

Callers saw an agent pass its memory limit and be killed before a crowd of slow clients, 1 to 2 s after it came.

Causes, as TestCrowdStaysWithinTheMemoryLimit and the sizes of a process's pages show: the limit of the Go runtime was three quarters of memory_mb and leaves out the pages of the program, 10 MB of the 11.5 MB of an idle agent, so that garbage alone passed 32 MB; only buffered bodies were in a budget, a sixth of memory_mb in each direction, and not connections, heads, streams and copies of a body; a head of 15 KB with 3,000 short fields takes some 300 KB once parsed.

Now internal/agent/memory divides the limit less the program among connections, requests in progress, buffered bodies and streams. A connection ends its reads at the end of a request, and returns a head once it is complete and admitted: at most 100 fields, and its cost must fit, else 431 or 503 before it is parsed. Long messages may use a part only. Copies of bodies are gone, and buffers of fixed size replace growing ones. What is sent behind a request is read ahead, up to 64 KiB, so that a close behind it is noticed, and a request that waits there keeps the time of its arrival.

Related: the pool counted a connection down twice after an early response that was streamed; the count is idempotent now.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -108,6 +108,7 @@
 		Listener:   listeners.Clients,
 		Shared:     listeners.Shared,
 		Dispatcher: loop,
+		Streams:    a.pool.Streams(),
 		OnDrain:    a.announceDrain,
 	})
 	a.killed, a.kill = context.WithCancel(context.Background())
@@ -164,10 +165,16 @@
 		admin:      a.admin,
 		downstream: a.downstream,
 		pool:       a.pool,
-		quotas:     append(a.bodyBudgets(), a.downstream.ConnSlots()),
+		quotas:     a.quotas(),
 	}
 }
 
+// quotas returns all quotas of the process.
+func (a *Agent) quotas() []message.Quota {
+	quotas := append(a.bodyBudgets(), a.downstream.ConnSlots(), a.pool.Streams())
+	return append(quotas, a.downstream.RequestBudgets()...)
+}
+
 // bodyBudgets returns the quotas that limit the bytes of buffered request bodies and response bodies.
 func (a *Agent) bodyBudgets() []message.Quota {
 	return []message.Quota{a.downstream.BodyBudget(), a.pool.BodyBudget()}
--- a/internal/agent/config/limits.go
+++ b/internal/agent/config/limits.go
@@ -1,6 +1,9 @@
 package config
 
-import "fernbeam.example/fernbeam/internal/membership"
+import (
+	"fernbeam.example/fernbeam/internal/agent/memory"
+	"fernbeam.example/fernbeam/internal/membership"
+)
 
 const (
 	// minSockets is the smallest allowed limit on descriptors. It leaves a few connections to each side, in addition to
@@ -16,28 +19,34 @@
 	// connections.
 	reserveDivisor = 8
 	bytesPerMiB    = 1 << 20
-	// memoryLimitNumerator and memoryLimitDenominator are the share of the memory that MemoryLimit returns.
-	memoryLimitNumerator, memoryLimitDenominator = 3, 4
 	// minReserve is enough for two processes to run side by side with two admin connections each.
 	minReserve = 2 * (fixedSockets + 2)
 )
 
-// MaxClientConns returns the maximum number of client connections: half of the descriptors outside the reserve, which
-// is for admin connections and fixedSockets.
-func (c *Config) MaxClientConns() int {
+// Memory returns the parts of the process's memory.
+func (c *Config) Memory() memory.Limits {
+	conns := c.connsPerSide()
+	return memory.Divide(c.MemoryBytes(), conns, conns, len(c.InitialList.Servers))
+}
+
+// MaxClientConns returns the maximum number of client connections, as far as descriptors and memory allow.
+func (c *Config) MaxClientConns() int { return c.Memory().ClientConns }
+
+// MaxServerConns returns the maximum number of connections to servers, as far as descriptors and memory allow.
+func (c *Config) MaxServerConns() int { return c.Memory().ServerConns }
+
+// connsPerSide returns how many connections the descriptors allow on each side, to clients and to servers: half of the
+// descriptors outside the reserve, which is for admin connections and fixedSockets.
+func (c *Config) connsPerSide() int {
 	sockets := c.ownSockets()
 	reserve := max(sockets/reserveDivisor, minReserve)
 	return (sockets - reserve) / 2
 }
 
-// MaxServerConns returns the maximum number of connections to servers: the other half of the descriptors outside the
-// reserve.
-func (c *Config) MaxServerConns() int { return c.MaxClientConns() }
-
 // MaxAdminConns returns the maximum number of admin connections of each process if the given number of processes share
 // the reserve.
 func (c *Config) MaxAdminConns(processes int) int {
-	reserve := c.ownSockets() - c.MaxClientConns() - c.MaxServerConns()
+	reserve := c.ownSockets() - 2*c.connsPerSide()
 	return min(reserve/processes-fixedSockets, maxAdminConns)
 }
 
@@ -52,8 +61,6 @@
 // MemoryBytes returns the memory limit of the process, in bytes.
 func (c *Config) MemoryBytes() int64 { return int64(c.MemoryMB) * bytesPerMiB }
 
-// MemoryLimit returns the soft memory limit for the Go runtime, in bytes. It is well below the limit at which the
-// process would be killed.
-func (c *Config) MemoryLimit() int64 {
-	return c.MemoryBytes() * memoryLimitNumerator / memoryLimitDenominator
-}
+// MemoryLimit returns the soft memory limit for the Go runtime, in bytes. The runtime does not count the pages of the
+// program, so that it is well below the limit at which the process would be killed.
+func (c *Config) MemoryLimit() int64 { return c.Memory().Runtime }
--- a/internal/agent/downstream/conn.go
+++ b/internal/agent/downstream/conn.go
@@ -14,9 +14,20 @@
 	"fernbeam.example/fernbeam/internal/listener"
 )
 
-// connKey is the context key of the *clientConn that a request arrived on.
+// connKey is the context key of the *framedConn that a request arrived on.
 type connKey struct{}
 
+// asClientConn returns the clientConn of a connection of the HTTP server, or nil if it has none.
+func asClientConn(conn net.Conn) *clientConn {
+	switch conn := conn.(type) {
+	case *framedConn:
+		return conn.clientConn
+	case *clientConn:
+		return conn
+	}
+	return nil
+}
+
 // clientConn is a client connection. It records whether this agent has closed it, and it can be closed between two
 // requests without losing a request that has just arrived.
 type clientConn struct {
@@ -86,15 +97,21 @@
 			n = c.readLate(buffer)
 		}
 		if n > 0 {
-			if !c.requestBegun.Swap(true) {
-				c.limitHead()
-			}
+			c.markBegun()
 			return n, nil
 		}
 		return n, err
 	}
 }
 
+// markBegun records that a request has begun. The first call since the connection was idle limits the time for its
+// head.
+func (c *clientConn) markBegun() {
+	if !c.requestBegun.Swap(true) {
+		c.limitHead()
+	}
+}
+
 // limitHead limits the time for the rest of a request's head, of which the first bytes have just arrived. The HTTP
 // server does so only from the fourth byte on; with fewer, the connection would still have its time as an idle one. A
 // deadline that is earlier is kept.
@@ -136,7 +153,18 @@
 // Write writes to the client. Its deadline counts from the beginning of the write, however long the request has taken,
 // and ends the connection of a client that does not read.
 func (c *clientConn) Write(data []byte) (int, error) {
-	return listener.WriteWithin(c.Conn, data, message.StallTimeout)
+	n, err := listener.WriteWithin(c.Conn, data, message.StallTimeout)
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		c.resetOnClose()
+	}
+	return n, err
+}
+
+// resetOnClose makes the close reset the connection. Otherwise a client that does not read would not notice it.
+func (c *clientConn) resetOnClose() {
+	if tcp, ok := c.Conn.(interface{ SetLinger(sec int) error }); ok {
+		_ = tcp.SetLinger(0) // without it the connection is closed too
+	}
 }
 
 // peerClosed reports whether the client has closed its side, even if bytes before the close are still unread. The HTTP
--- a/internal/agent/downstream/conns.go
+++ b/internal/agent/downstream/conns.go
@@ -74,7 +74,7 @@
 }
 
 func (c *clientConns) setActive(conn net.Conn) {
-	if client, ok := conn.(*clientConn); ok {
+	if client := asClientConn(conn); client != nil {
 		client.requestBegun.Store(true) // its bytes may have been read along with the last request
 	}
 	if c.open[conn] == connClosing {
@@ -84,16 +84,22 @@
 }
 
 func (c *clientConns) setIdle(conn net.Conn) {
-	if client, ok := conn.(*clientConn); ok {
+	if client := asClientConn(conn); client != nil {
 		client.requestBegun.Store(false)
 		client.queuedAt = time.Time{}
 	}
+	if framed, ok := conn.(*framedConn); ok {
+		framed.requestDone()
+	}
 	if c.open[conn] == connOpen {
 		c.idle[conn] = c.idleOrder.PushBack(conn)
 	}
 }
 
 func (c *clientConns) setClosed(conn net.Conn) {
+	if framed, ok := conn.(*framedConn); ok {
+		framed.releaseAll()
+	}
 	if c.open[conn] == connClosing {
 		c.closing--
 	}
@@ -135,7 +141,7 @@
 // closeWhenIdle closes a connection on which no request has begun: it makes the HTTP server's read fail, and the HTTP
 // server then reports the close.
 func closeWhenIdle(conn net.Conn) {
-	if client, ok := conn.(*clientConn); ok {
+	if client := asClientConn(conn); client != nil {
 		client.closeWhenIdle()
 	}
 }
--- a/internal/agent/downstream/listener.go
+++ b/internal/agent/downstream/listener.go
@@ -28,6 +28,21 @@
 	queuedAt time.Time
 }
 
+// framingListener accepts connections that an admission admits the requests of.
+type framingListener struct {
+	*clientListener
+	admission *admission
+}
+
+// Accept waits for a free slot and accepts a connection.
+func (l framingListener) Accept() (net.Conn, error) {
+	conn, err := l.clientListener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &framedConn{clientConn: conn.(*clientConn), admission: l.admission}, nil
+}
+
 func newClientListener(ln net.Listener, slots message.Quota) *clientListener {
 	ctx, cancel := context.WithCancel(context.Background())
 	return &clientListener{Listener: ln, slots: slots, ctx: ctx, cancel: cancel}
--- a/internal/agent/downstream/request.go
+++ b/internal/agent/downstream/request.go
@@ -21,6 +21,7 @@
 type receivedRequest struct {
 	*message.Request
 	reserved int64 // bytes reserved of the body budget
+	refused  bool  // the memory budget has no space for the body
 }
 
 // readRequest reads a client's request and as much of its body as is buffered. The caller releases the reserved bytes,
@@ -40,8 +41,8 @@
 		Header:   req.Header,
 		Response: make(chan message.Response, 1),
 	}
-	conn, ok := req.Context().Value(connKey{}).(*clientConn)
-	if ok {
+	conn := connOf(req)
+	if conn != nil {
 		request.ClientGone = conn.peerClosed
 	}
 	if invalid := readHeader(request.Request, s.classes.Load()); invalid != nil {
@@ -55,8 +56,8 @@
 	// The request's timeout starts when its last byte has arrived. For a streamed body it starts now, and is restarted
 	// when the last byte has arrived.
 	request.ArrivedAt = time.Now()
-	if ok && !conn.queuedAt.IsZero() {
-		request.ArrivedAt = conn.queuedAt
+	if conn != nil {
+		request.ArrivedAt = conn.arrivalTime(request.ArrivedAt)
 	}
 	request.Deadline = request.ArrivedAt.Add(request.Timeout)
 	return request, nil
@@ -125,14 +126,23 @@
 		Control: http.NewResponseController(w),
 		Source:  http.MaxBytesReader(w, req.Body, message.MaxRequestBody),
 	}
-	buffered, err := s.bodies.ReadBody(body, req.ContentLength)
-	request.Body = buffered.Bytes
-	request.reserved = buffered.Reserved
-	if err != nil {
-		return badRequest("reading the request body: %v", err)
+	isLong := req.ContentLength > message.MaxBufferedBody
+	if isLong {
+		request.refused = !s.admitUpload(req)
 	}
-	if buffered.Complete {
-		return nil
+	if !request.refused {
+		buffered, err := s.bodies.ReadBody(body, req.ContentLength)
+		request.Body = buffered.Bytes
+		request.reserved = buffered.Reserved
+		if err != nil {
+			return badRequest("reading the request body: %v", err)
+		}
+		if buffered.Complete {
+			return nil
+		}
+	}
+	if !isLong {
+		request.refused = !s.admitUpload(req)
 	}
 	request.Streamed = &message.StreamedBody{ClientBody: body, Length: req.ContentLength}
 	// The rest of the body may still arrive while the response is written.
@@ -141,3 +151,13 @@
 	}
 	return nil
 }
+
+// admitUpload reserves memory for a streamed body, and reports whether there is any. It counts a refusal.
+func (s *Server) admitUpload(req *http.Request) bool {
+	conn := connOf(req)
+	if conn == nil || conn.reserved.admitUpload() {
+		return true
+	}
+	s.admission.refusals.Uploads.Add(1)
+	return false
+}
--- a/internal/agent/downstream/server.go
+++ b/internal/agent/downstream/server.go
@@ -28,8 +28,6 @@
 	maxRequestTimeoutMs = 60_000
 	// keepAliveTimeout is how long a client connection may stay idle.
 	keepAliveTimeout = 2 * time.Minute
-	// maxRequestHead is the maximum size of the head of a request, in bytes.
-	maxRequestHead = 16 << 10
 	// readyPath is the path on which the platform checks whether clients should connect.
 	readyPath = "/-/ready"
 )
@@ -62,6 +60,7 @@
 	log        *slog.Logger
 	classes    atomic.Pointer[requestClasses]
 	bodies     message.Quota // bytes of buffered request bodies
+	admission  *admission
 	conns      *clientConns
 
 	// acceptsClients is set once clients should connect: a server has become available, or the wait for one has ended.
@@ -95,6 +94,8 @@
 	Shared bool
 	// Dispatcher handles the requests.
 	Dispatcher Dispatcher
+	// Streams is the quota of connections to servers on which a body is streamed.
+	Streams message.Quota
 	// OnDrain is called when a drain starts and ends.
 	OnDrain func(draining bool)
 }
@@ -106,11 +107,13 @@
 		dispatcher: options.Dispatcher,
 		shared:     options.Shared,
 		log:        cfg.Logger(),
-		bodies:     message.NewBodyBudget(cfg.MemoryBytes()),
+		bodies:     message.NewQuota(cfg.Memory().RequestBodies),
 		conns:      newClientConns(cfg.MaxClientConns()),
 		onDrain:    options.OnDrain,
 	}
 	s.ApplySettings(cfg)
+	retryAfterMs := func() float64 { return s.classes.Load().retryAfterMs }
+	s.admission = newAdmission(cfg.Memory(), options.Streams, retryAfterMs)
 	onFailure := func(err error, _ uint64) { s.dispatcher.AcceptFailed(err) }
 	accepting := listener.New(options.Listener, onFailure)
 	s.listener = newClientListener(accepting, s.conns.slots)
@@ -154,7 +157,7 @@
 // serve accepts clients until the listener is closed.
 func (s *Server) serve() error {
 	defer s.accepting.Done()
-	err := s.server.Serve(s.listener)
+	err := s.server.Serve(framingListener{clientListener: s.listener, admission: s.admission})
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.shuttingDown || errors.Is(err, http.ErrServerClosed) {
@@ -176,6 +179,14 @@
 // BodyBudget returns the quota of bytes of buffered request bodies.
 func (s *Server) BodyBudget() message.Quota { return s.bodies }
 
+// RequestBudgets returns the quotas of the bytes of requests in progress and of streamed request bodies.
+func (s *Server) RequestBudgets() []message.Quota {
+	return []message.Quota{s.admission.requests, s.admission.large, s.admission.uploads}
+}
+
+// Refusals returns the counts of requests that were refused before they reached the dispatcher.
+func (s *Server) Refusals() *Refusals { return &s.admission.refusals }
+
 // SetConnLimit changes the limit on client connections.
 func (s *Server) SetConnLimit(maxConns int) { s.conns.setLimit(maxConns) }
 
@@ -209,7 +220,7 @@
 	}
 	// The HTTP server decodes a chunked body and ignores a Content-Length given along with it. By that length, the bytes
 	// after the chunks could still belong to the body. They must not be read as a request, so the connection is closed.
-	if len(req.TransferEncoding) > 0 || s.draining.Load() {
+	if len(req.TransferEncoding) > 0 || s.draining.Load() || isLastRequest(req) {
 		closeAfterResponse(w)
 	}
 	if req.URL.Path == readyPath {
@@ -222,11 +233,23 @@
 // abortOnClosedConn aborts a request whose connection has just been closed as idle. The client gets no response and
 // sends the request again on another connection; if this copy were forwarded as well, both would execute.
 func abortOnClosedConn(req *http.Request) {
-	if conn, ok := req.Context().Value(connKey{}).(*clientConn); ok && conn.closed.Load() {
+	if conn := connOf(req); conn != nil && conn.closed.Load() {
 		panic(http.ErrAbortHandler)
 	}
 }
 
+// connOf returns the connection of a request, or nil if it is not a client connection.
+func connOf(req *http.Request) *framedConn {
+	conn, _ := req.Context().Value(connKey{}).(*framedConn)
+	return conn
+}
+
+// isLastRequest reports whether the end of a request is not known to its connection, so that no other may follow it.
+func isLastRequest(req *http.Request) bool {
+	conn := connOf(req)
+	return conn != nil && conn.opaque
+}
+
 // serveRequest answers a request that is not a readiness check.
 func (s *Server) serveRequest(w http.ResponseWriter, req *http.Request, control *http.ResponseController) {
 	request, invalid := s.readRequest(w, req)
@@ -235,7 +258,7 @@
 		s.writeInvalid(w, req, control, invalid)
 		return
 	}
-	if s.rejectingNew.Load() {
+	if s.rejectingNew.Load() || request.refused {
 		rejection := message.Response{Kind: message.Rejected, RetryAfterMs: s.classes.Load().retryAfterMs}
 		s.writeResponse(w, request.Request, rejection)
 		return
--- a/internal/agent/message/body_stream.go
+++ b/internal/agent/message/body_stream.go
@@ -1,7 +1,6 @@
 package message
 
 import (
-	"bytes"
 	"errors"
 	"io"
 	"net"
@@ -9,8 +8,12 @@
 	"time"
 )
 
-// ChunkSize is the size of a BodyStream's read buffer in bytes. Each stream has two.
-const ChunkSize = 16 << 10
+const (
+	// ChunkSize is the size of a BodyStream's read buffer in bytes. Each stream has two.
+	ChunkSize = 16 << 10
+	// SmallChunkSize is their size where the memory budget has no space for larger ones.
+	SmallChunkSize = 2 << 10
+)
 
 // bodyChunk is the result of one read of a body.
 type bodyChunk struct {
@@ -33,19 +36,20 @@
 	perReadDeadline bool // each read has its own deadline instead of the attempt's
 }
 
-// NewBodyStream returns a stream of body and starts reading it. Reads are subject to the current deadline of conn.
-func NewBodyStream(conn net.Conn, body io.Reader) *BodyStream {
+// NewBodyStream returns a stream of body and starts reading it, in chunks of at most chunkSize bytes. Reads are subject
+// to the current deadline of conn.
+func NewBodyStream(conn net.Conn, body io.Reader, chunkSize int) *BodyStream {
 	s := &BodyStream{chunks: make(chan bodyChunk), done: make(chan struct{}), conn: conn}
-	go s.read(body)
+	go s.read(body, chunkSize)
 	return s
 }
 
 // read reads the body into two buffers alternately. A receiver must not use a chunk after it has asked for the next.
-func (s *BodyStream) read(body io.Reader) {
-	var buffers [2][ChunkSize]byte
+func (s *BodyStream) read(body io.Reader, chunkSize int) {
+	buffers := [2][]byte{make([]byte, chunkSize), make([]byte, chunkSize)}
 	for i := 0; ; i = 1 - i {
 		s.extendDeadline()
-		n, err := body.Read(buffers[i][:])
+		n, err := body.Read(buffers[i])
 		select {
 		case s.chunks <- bodyChunk{bytes: buffers[i][:n], err: err}:
 		case <-s.done:
@@ -94,26 +98,43 @@
 	return chunk.bytes, chunk.err
 }
 
+// BufferCost is the number of bytes that Buffer needs for a limit of MaxBufferedBody.
+const BufferCost = MaxBufferedBody + 2*ChunkSize
+
+// collector collects bytes up to a limit. Its buffer grows at most once, as repeated growth takes several times as
+// much.
+type collector struct {
+	bytes []byte
+	limit int64
+}
+
+func (c *collector) add(chunk []byte) {
+	if len(c.bytes)+len(chunk) > cap(c.bytes) {
+		c.bytes = append(make([]byte, 0, c.limit), c.bytes...)
+	}
+	c.bytes = append(c.bytes, chunk...)
+}
+
 // Buffer collects chunks until the body ends, exceeds limit bytes or takes longer than timeout. It reserves no bytes of
 // a budget; that is left to the caller. The collected bytes are returned even with a non-nil error.
 func (s *BodyStream) Buffer(limit int64, timeout time.Duration) (BufferedPart, error) {
 	timer := time.NewTimer(timeout)
 	defer timer.Stop()
-	var collected bytes.Buffer
-	for int64(collected.Len()) <= limit {
+	collected := collector{bytes: make([]byte, 0, ChunkSize), limit: limit + ChunkSize}
+	for int64(len(collected.bytes)) <= limit {
 		select {
 		case chunk := <-s.chunks:
-			collected.Write(chunk.bytes)
+			collected.add(chunk.bytes)
 			s.complete = errors.Is(chunk.err, io.EOF)
 			if s.complete {
-				return BufferedPart{Bytes: collected.Bytes(), Complete: true}, nil
+				return BufferedPart{Bytes: collected.bytes, Complete: true}, nil
 			}
 			if chunk.err != nil {
-				return BufferedPart{Bytes: collected.Bytes()}, chunk.err
+				return BufferedPart{Bytes: collected.bytes}, chunk.err
 			}
 		case <-timer.C:
-			return BufferedPart{Bytes: collected.Bytes()}, nil
+			return BufferedPart{Bytes: collected.bytes}, nil
 		}
 	}
-	return BufferedPart{Bytes: collected.Bytes()}, nil
+	return BufferedPart{Bytes: collected.bytes}, nil
 }
--- a/internal/agent/message/request_body.go
+++ b/internal/agent/message/request_body.go
@@ -1,6 +1,7 @@
 package message
 
 import (
+	"cmp"
 	"errors"
 	"io"
 	"net/http"
@@ -22,6 +23,8 @@
 	// LingerTimeout limits how long the agent continues to read after a request that was not accepted, so that the
 	// client can read the response.
 	LingerTimeout = 300 * time.Millisecond
+	// discardBufferSize is the size of the buffer of Discard, in bytes.
+	discardBufferSize = 1 << 10
 	// StallTimeout is the maximum time without progress in the transfer of a streamed body to a server, from a server or
 	// to a client.
 	StallTimeout = 10 * time.Second
@@ -34,8 +37,9 @@
 
 	mu       sync.Mutex // one goroutine reads at a time
 	Source   io.Reader
-	received int64
+	received atomic.Int64
 	waitTime time.Duration
+	maxPause time.Duration           // longest pause between two reads that return bytes; 0 means BodyGracePeriod
 	end      atomic.Pointer[bodyEnd] // nil: the body is still arriving
 }
 
@@ -53,12 +57,13 @@
 		return 0, end.err
 	}
 	now := time.Now()
-	left := BodyGracePeriod + time.Duration(b.received)*time.Second/minBodyRate - b.waitTime
+	maxPause := cmp.Or(b.maxPause, BodyGracePeriod)
+	left := BodyGracePeriod + time.Duration(b.received.Load())*time.Second/minBodyRate - b.waitTime
 	// SetReadDeadline fails only for connections without deadlines, and all client connections have them.
-	_ = b.Control.SetReadDeadline(now.Add(min(left, BodyGracePeriod)))
+	_ = b.Control.SetReadDeadline(now.Add(min(left, maxPause)))
 	n, err := b.Source.Read(buffer)
 	b.waitTime += time.Since(now)
-	b.received += int64(n)
+	b.received.Add(int64(n))
 	if err != nil {
 		b.end.Store(&bodyEnd{err: err, at: time.Now()})
 		_ = b.Control.SetReadDeadline(readDeadlineAfter(err)) // as above
@@ -66,6 +71,20 @@
 	return n, err
 }
 
+// Discard reads the rest of a body that nobody needs, so that the client can send it and then read the response. It
+// gives up after a pause of maxPause.
+func (b *ClientBody) Discard(maxPause time.Duration) {
+	b.mu.Lock()
+	b.maxPause = maxPause
+	b.mu.Unlock()
+	var scratch [discardBufferSize]byte
+	for {
+		if _, err := b.Read(scratch[:]); err != nil {
+			return
+		}
+	}
+}
+
 // readDeadlineAfter returns the read deadline of a client connection after a body that ended with err. After a complete
 // body there is no deadline, because the server reads on to detect that the client closes the connection. After an
 // incomplete body, the agent continues to read for LingerTimeout.
--- a/internal/agent/socket/socket.go
+++ b/internal/agent/socket/socket.go
@@ -63,6 +63,70 @@
 	return max(n, 0)
 }
 
+// Peek copies the bytes that have arrived on a connection to buffer without reading them, and returns their number.
+func Peek(conn net.Conn, buffer []byte) int {
+	socket, ok := conn.(syscall.Conn)
+	if !ok {
+		return 0
+	}
+	raw, err := socket.SyscallConn()
+	if err != nil {
+		return 0
+	}
+	peeked := 0
+	_ = raw.Control(func(fd uintptr) { // a failure means that there is nothing to read
+		n, _, err := unix.Recvfrom(int(fd), buffer, unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		if err == nil {
+			peeked = n
+		}
+	})
+	return peeked
+}
+
+// discardBufferSize is the size of the buffer of Discard, and maxDiscarded the most that it reads, in bytes.
+const discardBufferSize, maxDiscarded = 4 << 10, 1 << 20
+
+// Discard reads the bytes that have arrived on a connection, without blocking.
+func Discard(conn net.Conn) {
+	socket, ok := conn.(syscall.Conn)
+	if !ok {
+		return
+	}
+	raw, err := socket.SyscallConn()
+	if err != nil {
+		return
+	}
+	_ = raw.Control(func(fd uintptr) { // a failure means that there is nothing to read
+		var buffer [discardBufferSize]byte
+		for total := 0; total < maxDiscarded; {
+			n := ReadAvailable(int(fd), buffer[:])
+			if n == 0 {
+				return
+			}
+			total += n
+		}
+	})
+}
+
+// UnreadBytes returns the number of bytes that have arrived on a connection and have not been read. It returns 0 if
+// conn is not a socket.
+func UnreadBytes(conn net.Conn) int {
+	socket, ok := conn.(syscall.Conn)
+	if !ok {
+		return 0
+	}
+	raw, err := socket.SyscallConn()
+	if err != nil {
+		return 0
+	}
+	unread := 0
+	err = raw.Control(func(fd uintptr) { unread, err = unix.IoctlGetInt(int(fd), unix.TIOCINQ) })
+	if err != nil {
+		return 0
+	}
+	return unread
+}
+
 // IsOpenAndIdle reports whether a connection is open and has no unread bytes. It returns true if conn is not a socket.
 // An idle connection that the peer has closed, or on which it has sent unsolicited bytes, must not carry a request: the
 // request could end in a reset after it has already executed.
--- a/internal/agent/upstream/attempt.go
+++ b/internal/agent/upstream/attempt.go
@@ -1,7 +1,6 @@
 package upstream
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"net/http"
@@ -181,20 +180,15 @@
 
 // exchangeBuffered makes the exchange of a message whose body is completely buffered.
 func (p *Pool) exchangeBuffered(conn *serverConn, server *Server, req *http.Request) exchangeResult {
-	var out bytes.Buffer
-	if err := req.Write(&out); err != nil {
-		failed := Result{Status: balancer.StatusConnectFailed, Reason: err.Error()}
-		return exchangeResult{Result: failed}
-	}
-	if written, err := conn.Write(out.Bytes()); err != nil {
-		if written < out.Len() {
+	if sent, err := writeBuffered(conn.Conn, req); err != nil {
+		if !sent {
 			// The last byte was never sent, and the connection is closed: the request can't execute.
 			return conn.unsentResult(err)
 		}
 		return exchangeResult{Result: Result{Status: brokenStatus(err), Reason: conn.describeFailure(err)}}
 	}
 	//nolint:bodyclose // the body has no resources of its own: the pool closes or reuses the connection
-	resp, err := readResponseHead(conn.reader, req.Method)
+	resp, err := conn.readHead(req.Method, p.budget)
 	return p.readResponse(conn, server, responseHead{resp: resp, err: err})
 }
 
--- a/internal/agent/upstream/conn.go
+++ b/internal/agent/upstream/conn.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"time"
 
+	"fernbeam.example/fernbeam/internal/agent/message"
 	"fernbeam.example/fernbeam/internal/agent/socket"
 	"fernbeam.example/fernbeam/internal/balancer"
 )
@@ -20,6 +21,25 @@
 	idleSince time.Time
 	uses      int           // requests carried
 	idledFor  time.Duration // idle time before the current request
+	closed    bool          // no longer counted by the pool, whose mutex guards it
+	reserved  int64         // bytes that a long head has reserved of budget
+	budget    message.Quota
+}
+
+const (
+	// readBufferSize is the size of a connection's read buffer, in bytes. A longer head has a larger one for its time.
+	readBufferSize = 4 << 10
+	// sendBufferSize is the size of a connection's send buffer in the kernel, in bytes. With a large one, a write would
+	// make no progress for seconds before a server that reads slowly, and a request would count as sent long before
+	// its server has read it.
+	sendBufferSize = 128 << 10
+)
+
+// limitSendBuffer limits the send buffer of a connection.
+func limitSendBuffer(conn net.Conn) {
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		_ = tcp.SetWriteBuffer(sendBufferSize) // without it the connection works too
+	}
 }
 
 // Setting a deadline fails only on a closed connection, on which the next read or write fails as well.
--- a/internal/agent/upstream/pool.go
+++ b/internal/agent/upstream/pool.go
@@ -34,8 +34,9 @@
 // retries by itself when a reused connection is broken, and it does not report whether the last byte of a request was
 // written. An attempt can have executed only if that byte was written.
 type Pool struct {
-	budget message.Quota // for the bytes of buffered response bodies
-	dial   config.DialFunc
+	budget  message.Quota // for the bytes of buffered response bodies, of long heads and of stream buffers
+	streams message.Quota // connections on which a body is streamed
+	dial    config.DialFunc
 
 	mu              sync.Mutex
 	maxConns        int
@@ -52,7 +53,8 @@
 func NewPool(cfg *config.Config) *Pool {
 	p := &Pool{
 		maxConns: cfg.MaxServerConns(),
-		budget:   message.NewBodyBudget(cfg.MemoryBytes()),
+		budget:   message.NewQuota(cfg.Memory().ResponseBodies),
+		streams:  message.NewQuota(cfg.Memory().Streams),
 		dial:     cfg.Dialer(),
 		idle:     map[string][]*serverConn{},
 	}
@@ -75,6 +77,9 @@
 // BodyBudget returns the quota for the bytes of buffered response bodies.
 func (p *Pool) BodyBudget() message.Quota { return p.budget }
 
+// Streams returns the quota of connections on which a body is streamed, in either direction.
+func (p *Pool) Streams() message.Quota { return p.streams }
+
 // ConnLimit returns the limit on connections.
 func (p *Pool) ConnLimit() int {
 	p.mu.Lock()
@@ -142,9 +147,10 @@
 		p.mu.Unlock()
 		return nil, err
 	}
+	limitSendBuffer(opened)
 	return &serverConn{
 		Conn:      opened,
-		reader:    bufio.NewReaderSize(opened, maxResponseHead),
+		reader:    bufio.NewReaderSize(opened, readBufferSize),
 		addr:      addr,
 		createdAt: time.Now(),
 	}, nil
@@ -181,7 +187,7 @@
 
 // closeConn closes a connection and stops counting it. The caller must hold p.mu.
 func (p *Pool) closeConn(conn *serverConn) {
-	p.openConns--
+	p.uncount(conn)
 	_ = conn.Close() // the connection is no longer used, so the error has no consequence
 }
 
@@ -189,6 +195,7 @@
 // it closes the connection instead.
 func (p *Pool) release(conn *serverConn, server *Server) {
 	conn.setDeadline(time.Time{})
+	conn.releaseReserved()
 	conn.idleSince = time.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -202,9 +209,18 @@
 // discard closes a connection that is not idle.
 func (p *Pool) discard(conn *serverConn) {
 	_ = conn.Close() // the connection is no longer used, so the error has no consequence
+	conn.releaseReserved()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.openConns--
+	p.uncount(conn)
+}
+
+// uncount stops counting a connection that has been closed. Further calls have no effect. The caller must hold p.mu.
+func (p *Pool) uncount(conn *serverConn) {
+	if !conn.closed {
+		conn.closed = true
+		p.openConns--
+	}
 }
 
 // recordIdleUse records that a connection was reused after an idle time, and whether it turned out to be lost.
--- a/internal/agent/upstream/request.go
+++ b/internal/agent/upstream/request.go
@@ -51,13 +51,12 @@
 		Host:   incoming.Host,
 		Header: header,
 	}
-	buffered := bytes.NewReader(incoming.Body)
 	switch {
 	case incoming.Streamed != nil:
-		req.Body = io.NopCloser(io.MultiReader(buffered, incoming.Streamed))
+		req.Body = streamedBody{source: io.MultiReader(bytes.NewReader(incoming.Body), incoming.Streamed)}
 		req.ContentLength = incoming.Streamed.Length
 	case len(incoming.Body) > 0:
-		req.Body = io.NopCloser(buffered)
+		req.Body = bufferedBody{incoming.Body}
 		req.ContentLength = int64(len(incoming.Body))
 	}
 	return req
--- a/internal/agent/upstream/response.go
+++ b/internal/agent/upstream/response.go
@@ -1,33 +1,16 @@
 package upstream
 
 import (
-	"bufio"
 	"errors"
 	"io"
 	"net"
 	"net/http"
 	"os"
-	"regexp"
 
 	"fernbeam.example/fernbeam/internal/agent/message"
 	"fernbeam.example/fernbeam/internal/balancer"
 )
 
-const (
-	// maxResponseHead is the largest response head accepted, in bytes.
-	maxResponseHead = 16 << 10
-	// maxInterimResponses is the largest number of interim (1xx) responses before a final one.
-	maxInterimResponses = 8
-	// protocolPrefix is the beginning of each response head.
-	protocolPrefix = "HTTP/1."
-)
-
-var (
-	endOfHead             = regexp.MustCompile(`\n\r?\n`)
-	contentLengthField    = regexp.MustCompile(`(?i)\ncontent-length[ \t]*:`)
-	transferEncodingField = regexp.MustCompile(`(?i)\ntransfer-encoding[ \t]*:`)
-)
-
 // responseHead is the outcome of reading a response head.
 type responseHead struct {
 	resp *http.Response // nil if err is set
@@ -91,25 +74,31 @@
 // readStreamedBody starts streaming a body. If the length of the body is unknown, it first buffers what arrives within
 // message.BufferingTime, and does not stream a body that is complete by then.
 func (p *Pool) readStreamedBody(conn *serverConn, server *Server, resp *http.Response) exchangeResult {
+	if !p.streams.TryAcquire(1) {
+		return conn.brokenResult(errNoMemory)
+	}
 	body := &message.ResponseBody{
 		Length: resp.ContentLength,
 		Budget: p.budget,
-		Stream: message.NewBodyStream(conn, resp.Body),
+		Stream: p.newBodyStream(conn, resp),
 	}
+	onEnd := body.Stream.OnEnd
 	body.Stream.OnEnd = func(complete bool) {
+		onEnd(complete)
 		if complete && conn.reusableAfter(resp) {
 			p.release(conn, server)
 		} else {
 			p.discard(conn)
 		}
 	}
-	if resp.ContentLength >= 0 || !p.budget.TryAcquire(message.MaxBufferedBody) {
+	if resp.ContentLength >= 0 || !p.budget.TryAcquire(message.BufferCost) {
 		return servedResult(resp, body)
 	}
-	body.Reserved = message.MaxBufferedBody
+	body.Reserved = message.BufferCost
 	part, err := body.Stream.Buffer(message.MaxBufferedBody, message.BufferingTime)
 	body.Buffered = part.Bytes
 	if err != nil {
+		onEnd(false)
 		body.Stream.Detach()
 		body.Stream = nil
 		body.Release()
@@ -119,6 +108,7 @@
 	if !part.Complete {
 		return servedResult(resp, body)
 	}
+	onEnd(true)
 	body.Length = int64(len(part.Bytes))
 	body.Stream = nil
 	result := servedResult(resp, body)
@@ -126,6 +116,23 @@
 	return result
 }
 
+// newBodyStream starts streaming a body. It returns small chunks if the budget has no space for larger ones. OnEnd
+// returns the place among the streams and the space in the budget.
+func (p *Pool) newBodyStream(conn *serverConn, resp *http.Response) *message.BodyStream {
+	const largeBuffers = 2 * message.ChunkSize
+	if !p.budget.TryAcquire(largeBuffers) {
+		stream := message.NewBodyStream(conn, resp.Body, message.SmallChunkSize)
+		stream.OnEnd = func(bool) { p.streams.Release(1) }
+		return stream
+	}
+	stream := message.NewBodyStream(conn, resp.Body, message.ChunkSize)
+	stream.OnEnd = func(bool) {
+		p.streams.Release(1)
+		p.budget.Release(largeBuffers)
+	}
+	return stream
+}
+
 // servedResult returns the result of an exchange whose response is forwarded. Its connection is not marked reusable.
 func servedResult(resp *http.Response, body *message.ResponseBody) exchangeResult {
 	return exchangeResult{Result: Result{Status: balancer.StatusOK, Header: resp.Header, Body: body}}
@@ -137,6 +144,8 @@
 func brokenStatus(err error) balancer.Status {
 	var opError *net.OpError
 	switch {
+	case errors.Is(err, errNoMemory):
+		return balancer.StatusCancelled // the server is not to blame
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return balancer.StatusTimeout
 	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), errors.As(err, &opError):
@@ -160,46 +169,3 @@
 	}
 	return balancer.StatusError
 }
-
-// readResponseHead reads the head of the final response and skips interim ones.
-func readResponseHead(reader *bufio.Reader, method string) (*http.Response, error) {
-	for range maxInterimResponses {
-		if err := checkResponseHead(reader); err != nil {
-			return nil, err
-		}
-		resp, err := http.ReadResponse(reader, &http.Request{Method: method})
-		if err != nil {
-			return nil, err
-		}
-		if resp.StatusCode >= http.StatusOK || resp.StatusCode == http.StatusSwitchingProtocols {
-			return resp, nil
-		}
-	}
-	return nil, errors.New("too many interim responses")
-}
-
-// checkResponseHead waits for a complete head, whose length is limited by the reader's buffer, without consuming it. It
-// rejects heads on which net/http is too lenient: net/http buffers a line of any length, and if a response has both
-// Content-Length and Transfer-Encoding, it follows the chunks, though the server may have meant the other framing. The
-// rest of the body would then be taken for the next response.
-func checkResponseHead(reader *bufio.Reader) error {
-	for needed := 1; ; needed = reader.Buffered() + 1 {
-		if _, err := reader.Peek(needed); err != nil {
-			return err
-		}
-		head, _ := reader.Peek(reader.Buffered()) // peeking at buffered bytes can't fail
-		compared := min(len(protocolPrefix), len(head))
-		if string(head[:compared]) != protocolPrefix[:compared] {
-			return errors.New("response is not HTTP")
-		}
-		end := endOfHead.FindIndex(head)
-		if end == nil {
-			continue
-		}
-		head = head[:end[0]]
-		if contentLengthField.Match(head) && transferEncodingField.Match(head) {
-			return errors.New("response has two framings")
-		}
-		return nil
-	}
-}
--- a/internal/agent/upstream/streamed.go
+++ b/internal/agent/upstream/streamed.go
@@ -1,7 +1,6 @@
 package upstream
 
 import (
-	"bufio"
 	"cmp"
 	"context"
 	"errors"
@@ -52,7 +51,7 @@
 	var writeErr error
 	select {
 	case writeErr = <-e.written:
-		if clientErr := e.outgoing.Streamed.Err(); writeErr != nil && clientErr != nil {
+		if clientErr := e.clientError(writeErr); clientErr != nil {
 			return e.clientFailed(clientErr)
 		}
 		head = e.awaitHead(ctx, writeErr)
@@ -66,7 +65,7 @@
 // readHead reads the head of the response and sends it to e.heads.
 func (e *streamedExchange) readHead(method string) {
 	//nolint:bodyclose // the body has no resources of its own: the pool closes or reuses the connection
-	resp, err := readResponseHead(e.conn.reader, method)
+	resp, err := e.conn.readHead(method, e.pool.budget)
 	e.heads <- responseHead{resp: resp, err: err}
 }
 
@@ -78,12 +77,27 @@
 		body:         e.outgoing.Streamed,
 		responseTime: e.outgoing.ResponseTime,
 	}
-	buffered := bufio.NewWriterSize(to, message.ChunkSize)
-	err := req.Write(buffered)
-	if err == nil {
-		err = buffered.Flush()
+	e.written <- writeStreamed(to, req, e.checkClient)
+}
+
+// clientError returns the client's error that ended the write with writeErr, or nil if there is none.
+func (e *streamedExchange) clientError(writeErr error) error {
+	switch {
+	case writeErr == nil:
+		return nil
+	case errors.Is(writeErr, ErrClientGone):
+		return writeErr
+	}
+	return e.outgoing.Streamed.Err()
+}
+
+// checkClient returns an error if the client has closed its connection. Where the client left behind a long body, the
+// close shows only once the whole body has been read.
+func (e *streamedExchange) checkClient() error {
+	if gone := e.outgoing.ClientGone; gone != nil && gone() {
+		return ErrClientGone
 	}
-	e.written <- err
+	return nil
 }
 
 // clientFailed ends an exchange whose body the client did not complete.
