Count the time of a large request from its last byte where its server reads slowly

Cause: a write to the server had a deadline of the request's timeout from now, at each chunk. With a send buffer of some megabytes a write waits for seconds though the server reads, and a chunk that goes through starts the time again though the client sent its last byte long ago.

Now the deadline depends on what the client can have sent: what has arrived unread, and 8 MB in its send buffer. As long as more than that is missing the server only has to make progress; after that the time counts from when the rest may have been sent.

--- a/internal/agent/downstream/request.go
+++ b/internal/agent/downstream/request.go
@@ -9,6 +9,7 @@
 
 	"fernbeam.example/fernbeam/internal/agent/keyhash"
 	"fernbeam.example/fernbeam/internal/agent/message"
+	"fernbeam.example/fernbeam/internal/agent/socket"
 	"fernbeam.example/fernbeam/internal/balancer"
 )
 
@@ -145,6 +146,9 @@
 		request.refused = !s.admitUpload(req)
 	}
 	request.Streamed = &message.StreamedBody{ClientBody: body, Length: req.ContentLength}
+	if conn := connOf(req); conn != nil {
+		request.Streamed.Unread = func() int { return socket.UnreadBytes(conn.Conn) }
+	}
 	// The rest of the body may still arrive while the response is written.
 	if err := body.Control.EnableFullDuplex(); err != nil {
 		return badRequest("streaming the request body: %v", err)
--- a/internal/agent/message/request_body.go
+++ b/internal/agent/message/request_body.go
@@ -125,6 +125,41 @@
 	*ClientBody
 	Length   int64       // of the whole body; -1 if unknown
 	Consumed atomic.Bool // set once bytes have been read or lost
+	// Unread returns the number of bytes that have arrived from the client and have not been read. If it is nil, that is
+	// not known.
+	Unread func() int
+
+	waitingSince time.Time // since when the client may have sent its last byte; owned by the goroutine that reads
+}
+
+// maxUnseen is the greatest number of bytes that a client may have sent and that have not arrived: the largest send
+// buffer that the kernel gives by default.
+const maxUnseen = 8 << 20
+
+// WriteDeadline returns the deadline of a write to a server that does not take the body as fast as the client sends it.
+// The request's timeout counts from the last byte, which the client may have sent although it has not been read.
+func (s *StreamedBody) WriteDeadline(timeout time.Duration) time.Time {
+	now := time.Now()
+	if end := s.end.Load(); end != nil {
+		return end.at.Add(timeout)
+	}
+	unread := 0
+	if s.Unread != nil {
+		unread = s.Unread()
+	}
+	isFar := s.Length >= 0 && s.Length-s.received.Load() > int64(unread)+maxUnseen
+	if isFar || unread == 0 {
+		s.waitingSince = time.Time{}
+	}
+	switch {
+	case isFar:
+		return now.Add(StallTimeout)
+	case unread == 0:
+		return now.Add(min(timeout, StallTimeout)) // the rest may arrive while the write waits
+	case s.waitingSince.IsZero():
+		s.waitingSince = now
+	}
+	return s.waitingSince.Add(timeout)
 }
 
 // Read reads from the client and marks the body as consumed.
--- a/internal/agent/upstream/streamed.go
+++ b/internal/agent/upstream/streamed.go
@@ -9,7 +9,6 @@
 
 	"fernbeam.example/fernbeam/internal/agent/message"
 	"fernbeam.example/fernbeam/internal/balancer"
-	"fernbeam.example/fernbeam/internal/clock"
 )
 
 // earlyResponseWait is how long to wait for a response after the write of the request has failed. It is also how long
@@ -181,7 +180,7 @@
 }
 
 // serverWriter writes a streamed body to a server. The deadline applies to each chunk, not to the whole body. Once the
-// client's last byte has arrived, the deadline is never after the end of the response time.
+// client may have sent its last byte, the deadline is never after the end of the response time.
 type serverWriter struct {
 	//nolint:containedctx // io.Writer has no context
 	ctx          context.Context // cancels the attempt
@@ -194,6 +193,6 @@
 	if err := w.ctx.Err(); err != nil {
 		return 0, err
 	}
-	w.conn.setWriteDeadline(clock.Earliest(time.Now().Add(message.StallTimeout), w.body.ResponseDeadline(w.responseTime)))
+	w.conn.setWriteDeadline(w.body.WriteDeadline(w.responseTime))
 	return w.conn.Write(chunk)
 }
