Answer requests that wait in the accept queue while all slots are taken

Cause: connections that never sent anything kept their slots for 2.6 s, and new ones waited in the accept queue without a limit.

--- a/internal/agent/downstream/conns.go
+++ b/internal/agent/downstream/conns.go
@@ -17,6 +17,8 @@
 	// openShareNumerator/openShareDenominator is the fraction of the connection limit above which idle connections are
 	// closed.
 	openShareNumerator, openShareDenominator = 7, 8
+	// maxSilentTime is how long a new connection may send nothing while a request waits for its connection to be accepted.
+	maxSilentTime = 400 * time.Millisecond
 )
 
 // connPhase is the state of an open connection.
@@ -36,14 +38,16 @@
 // ever become free. A connection that is being closed is not counted and not selected again. If a request turns out to
 // have arrived on it, another connection is closed instead.
 type clientConns struct {
-	slots     message.Quota
-	mu        sync.Mutex
-	maxConns  int
-	open      map[net.Conn]connPhase
-	closing   int       // number of connections that are connClosing
-	idleOrder list.List // idle connections, longest idle first
-	idle      map[net.Conn]*list.Element
-	allClosed chan struct{} // closed once no connection is open; nil if nothing waits for that
+	slots       message.Quota
+	mu          sync.Mutex
+	maxConns    int
+	open        map[net.Conn]connPhase
+	closing     int       // number of connections that are connClosing
+	idleOrder   list.List // idle connections, longest idle first
+	idle        map[net.Conn]*list.Element
+	silentOrder list.List // silentConn, longest open first: connections that have not carried a request
+	silent      map[net.Conn]*list.Element
+	allClosed   chan struct{} // closed once no connection is open; nil if nothing waits for that
 }
 
 func newClientConns(maxConns int) *clientConns {
@@ -52,6 +56,7 @@
 		slots:    message.NewQuota(int64(maxConns)),
 		open:     map[net.Conn]connPhase{},
 		idle:     map[net.Conn]*list.Element{},
+		silent:   map[net.Conn]*list.Element{},
 	}
 }
 
@@ -60,9 +65,11 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.removeIdle(conn)
+	c.removeSilent(conn)
 	switch state {
 	case http.StateNew:
 		c.open[conn] = connOpen
+		c.silent[conn] = c.silentOrder.PushBack(silentConn{conn: conn, since: time.Now()})
 	case http.StateActive:
 		c.setActive(conn)
 	case http.StateIdle:
@@ -138,6 +145,47 @@
 	}
 }
 
+// silentConn is a connection that has not carried a request, and when it was accepted.
+type silentConn struct {
+	conn  net.Conn
+	since time.Time
+}
+
+// closeSilent closes connections that have sent nothing for maxSilentTime, and reports whether there were any. It is
+// called while a request waits for its connection to be accepted.
+func (c *clientConns) closeSilent() (closed bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for element := c.silentOrder.Front(); element != nil; element = c.silentOrder.Front() {
+		longest := element.Value.(silentConn)
+		if time.Since(longest.since) < maxSilentTime {
+			break
+		}
+		c.removeSilent(longest.conn)
+		if c.open[longest.conn] == connOpen && !hasBegun(longest.conn) {
+			c.open[longest.conn] = connClosing
+			c.closing++
+			closeWhenIdle(longest.conn)
+			closed = true
+		}
+	}
+	return closed
+}
+
+// removeSilent removes a connection from the silent list. The caller holds c.mu.
+func (c *clientConns) removeSilent(conn net.Conn) {
+	if element := c.silent[conn]; element != nil {
+		c.silentOrder.Remove(element)
+		delete(c.silent, conn)
+	}
+}
+
+// hasBegun reports whether a request has begun on a connection, or may have.
+func hasBegun(conn net.Conn) bool {
+	client := asClientConn(conn)
+	return client == nil || client.requestBegun.Load()
+}
+
 // closeWhenIdle closes a connection on which no request has begun: it makes the HTTP server's read fail, and the HTTP
 // server then reports the close.
 func closeWhenIdle(conn net.Conn) {
--- a/internal/agent/downstream/listener.go
+++ b/internal/agent/downstream/listener.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"net"
+	"regexp"
+	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -14,6 +16,13 @@
 // the time that a request is assumed to have waited in the queue.
 const queuePollInterval = 25 * time.Millisecond
 
+// maxQueueTime is how long a connection may wait in the accept queue for a slot. A request on it is then refused, while
+// its client still waits.
+const maxQueueTime = 250 * time.Millisecond
+
+// firstBytesTime is how long a connection that has just been accepted without a slot may take to send its request.
+const firstBytesTime = 5 * time.Millisecond
+
 // clientListener accepts as many connections as there are slots. Further clients wait in the accept queue, where they
 // take no descriptor.
 type clientListener struct {
@@ -26,6 +35,12 @@
 	// queuedAt is when connections began to wait in the accept queue because no slot was free; those in the queue now
 	// arrived after it. It is zero if none has had to wait. It is owned by Accept.
 	queuedAt time.Time
+	// hasSlot is set while a slot is acquired for the next connection. It is owned by Accept.
+	hasSlot bool
+	// refuse ends a connection for which no slot has become free in time. If it is nil, connections wait.
+	refuse func(net.Conn)
+	// makeRoom closes connections that have sent nothing, and reports whether there were any. It is set along with refuse.
+	makeRoom func() bool
 }
 
 // framingListener accepts connections that an admission admits the requests of.
@@ -48,41 +63,105 @@
 	return &clientListener{Listener: ln, slots: slots, ctx: ctx, cancel: cancel}
 }
 
-// Accept waits for a free slot and accepts a connection.
+// Accept waits for a free slot and accepts a connection. Connections for which there is none in time are refused.
 func (l *clientListener) Accept() (net.Conn, error) {
-	if l.finishing.Load() && !l.queued() {
-		return nil, net.ErrClosed
-	}
-	if !l.slots.TryAcquire(1) {
-		if err := l.awaitSlot(); err != nil {
+	for {
+		if l.finishing.Load() && !l.queued() {
 			return nil, net.ErrClosed
 		}
+		if err := l.awaitSlot(); err != nil {
+			return nil, err
+		}
+		accepted, err := l.Listener.Accept()
+		if err != nil {
+			l.releaseSlot()
+			return nil, err
+		}
+		if !l.hasSlot && !l.awaitSlotFor(accepted) {
+			l.refuse(accepted)
+			continue
+		}
+		l.hasSlot = false // it is the connection's now
+		conn := &clientConn{Conn: accepted, release: func() { l.slots.Release(1) }}
+		if !l.queuedAt.IsZero() {
+			l.setQueuedAt(conn)
+		}
+		return conn, nil
 	}
-	accepted, err := l.Listener.Accept()
-	if err != nil {
-		l.slots.Release(1)
-		return nil, err
-	}
-	conn := &clientConn{Conn: accepted, release: func() { l.slots.Release(1) }}
-	if !l.queuedAt.IsZero() {
-		l.setQueuedAt(conn)
-	}
-	return conn, nil
 }
 
-// awaitSlot waits for a free slot. It records in queuedAt when connections began to wait in the accept queue.
+// awaitSlot acquires a slot for the next connection. While none is free, it records in queuedAt when connections began
+// to wait in the accept queue. It gives up if that is maxQueueTime ago; hasSlot tells whether it has acquired a slot.
 func (l *clientListener) awaitSlot() error {
+	if l.slots.TryAcquire(1) {
+		l.hasSlot = true
+		return nil
+	}
 	for {
 		polledAt := time.Now()
 		if l.queuedAt.IsZero() && l.queued() {
 			l.queuedAt = polledAt.Add(-queuePollInterval)
 		}
-		ctx, cancel := context.WithTimeout(l.ctx, queuePollInterval)
-		err := l.slots.Acquire(ctx, 1)
-		cancel()
-		if err == nil || l.ctx.Err() != nil {
-			return err
+		if l.refuse != nil && !l.queuedAt.IsZero() && time.Since(l.queuedAt) > maxQueueTime && l.queued() {
+			return nil
+		}
+		if l.pollSlot(queuePollInterval) {
+			return nil
 		}
+		if l.ctx.Err() != nil {
+			return net.ErrClosed
+		}
+	}
+}
+
+// awaitSlotFor waits for a slot for a connection that has been accepted without one. If a request has arrived on it, it
+// closes silent connections in its favor. It gives up, so that the connection is refused, when half of the request's
+// time has passed, or when others wait in the accept queue and no slot is about to become free.
+func (l *clientListener) awaitSlotFor(conn net.Conn) bool {
+	if l.pollSlot(firstBytesTime) {
+		return true
+	}
+	for {
+		timeout := peekRequestTimeout(conn)
+		isClosing := timeout > 0 && l.makeRoom()
+		isLate := timeout > 0 && time.Since(l.queuedAt) > timeout/2
+		if isLate || l.ctx.Err() != nil || l.queued() && !isClosing {
+			return false
+		}
+		if l.pollSlot(queuePollInterval) {
+			return true
+		}
+	}
+}
+
+// pollSlot waits for a slot for up to the given time and reports whether it has acquired one.
+func (l *clientListener) pollSlot(wait time.Duration) bool {
+	ctx, cancel := context.WithTimeout(l.ctx, wait)
+	defer cancel()
+	l.hasSlot = l.slots.Acquire(ctx, 1) == nil
+	return l.hasSlot
+}
+
+// requestTimeoutField matches the timeout in the head of a request.
+var requestTimeoutField = regexp.MustCompile(`(?i)\nrequest-timeout-ms:[ \t]*([0-9]{1,5})[ \t]*\r?\n`)
+
+// peekRequestTimeout returns the timeout of the request that has arrived on a connection, without reading it. It is 0
+// if there is none.
+func peekRequestTimeout(conn net.Conn) time.Duration {
+	var head [initialReadBuffer]byte
+	found := requestTimeoutField.FindSubmatch(head[:socket.Peek(conn, head[:])])
+	if found == nil {
+		return 0
+	}
+	timeoutMs, _ := strconv.Atoi(string(found[1])) // the expression matches numbers only
+	return time.Duration(timeoutMs) * time.Millisecond
+}
+
+// releaseSlot releases the slot that awaitSlot has acquired, if any.
+func (l *clientListener) releaseSlot() {
+	if l.hasSlot {
+		l.hasSlot = false
+		l.slots.Release(1)
 	}
 }
 
--- a/internal/agent/downstream/server.go
+++ b/internal/agent/downstream/server.go
@@ -117,6 +117,8 @@
 	onFailure := func(err error, _ uint64) { s.dispatcher.AcceptFailed(err) }
 	accepting := listener.New(options.Listener, onFailure)
 	s.listener = newClientListener(accepting, s.conns.slots)
+	s.listener.refuse = s.admission.refuseQueued
+	s.listener.makeRoom = s.conns.closeSilent
 	// There is no WriteTimeout: it would count from a request's head, and a body may take longer than any timeout. Each
 	// write has its own deadline (clientConn.Write).
 	s.server = &http.Server{
