--- a/internal/agent/client_close_test.go
+++ b/internal/agent/client_close_test.go
@@ -51,6 +51,7 @@
 	reached   func() bool // reports whether the agent is in that state
 	proceed   func()      // unblocks the server or connection after the client's close
 	started   func() int  // returns how many requests have begun to arrive at servers
+	executed  func() int  // returns how many requests have arrived at servers completely; nil if that is not counted
 	allowed   int         // expected value of started: the requests from before the close
 	responses int         // final responses that the client must get after a half-close
 }
@@ -116,6 +117,7 @@
 		reached:   func() bool { return agent.statsNow().Policy.Queued == 1 },
 		proceed:   release,
 		started:   server.StartedCount,
+		executed:  server.Count,
 		allowed:   initialConcurrency,
 		responses: 1,
 	}
