--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -111,6 +111,7 @@
 		Streams:    a.pool.Streams(),
 		OnDrain:    a.announceDrain,
 	})
+	loop.ReportResources(a.describeResources)
 	a.killed, a.kill = context.WithCancel(context.Background())
 	return a, nil
 }
--- a/internal/agent/dispatch/loop.go
+++ b/internal/agent/dispatch/loop.go
@@ -44,7 +44,8 @@
 
 	list           listState
 	startTimes     *startTimeTable
-	onServersReady func() // called when a list with a ready server is in force
+	onServersReady func()        // called when a list with a ready server is in force
+	resources      func() string // describes the use of the process's resources for the log; may be nil
 
 	logger    *asyncLogger
 	metrics   Metrics
@@ -117,6 +118,9 @@
 	}
 }
 
+// ReportResources sets a function that describes the use of the process's resources. It must be called before Run.
+func (l *Loop) ReportResources(describe func() string) { l.resources = describe }
+
 // Close closes the connections to discovery.
 func (l *Loop) Close() { l.discovery.Close() }
 
--- a/internal/agent/dispatch/metrics.go
+++ b/internal/agent/dispatch/metrics.go
@@ -100,11 +100,16 @@
 
 // logMetrics writes the metrics and the policy's statistics to the log.
 func (l *Loop) logMetrics() {
+	resources := ""
+	if l.resources != nil {
+		resources = l.resources()
+	}
 	l.logger.log(slog.LevelInfo, "metrics",
 		"open", l.requests.openCount,
 		"server_conns", l.pool.Size(),
 		"connects", l.pool.ConnectCount(),
 		"idle_limit", l.pool.IdleLimit(),
+		"resources", resources,
 		"policy", fmt.Sprintf("%+v", l.balancer.Stats()),
 		"counts", l.MetricsText())
 }
