--- a/cmd/agent/crowd_test.go
+++ b/cmd/agent/crowd_test.go
@@ -115,6 +115,12 @@
 	}
 }
 
+// lastRequestID is the number of the last request of a crowd.
+var lastRequestID atomic.Int64
+
+// newRequestID returns an id that no other request has.
+func newRequestID(prefix string) string { return fmt.Sprintf("%s-%d", prefix, lastRequestID.Add(1)) }
+
 // crowdRequestHead returns the head of a request with further header fields, each of which ends with CRLF.
 func crowdRequestHead(path, id string, timeout time.Duration, fields string) string {
 	const format = "POST %s HTTP/1.1\r\nHost: x\r\nRequest-Id: %s\r\nRequest-Class: %s\r\nRequest-Timeout-Ms: %d\r\n%s\r\n"
@@ -135,11 +141,11 @@
 
 // sendSlowly returns a member that sends requests with bodies of the given size at slowWriteRate.
 func sendSlowly(size int) crowdMember {
-	return func(ctx context.Context, conn net.Conn, index int) {
+	return func(ctx context.Context, conn net.Conn, _ int) {
 		reader := bufio.NewReader(conn)
 		for ctx.Err() == nil {
 			fields := fmt.Sprintf("Content-Length: %d\r\n", size)
-			head := crowdRequestHead(orderPath, fmt.Sprintf("s%d", index), trafficTimeout, fields)
+			head := crowdRequestHead(orderPath, newRequestID("s"), trafficTimeout, fields)
 			write := func(text string) error {
 				_, err := io.WriteString(conn, text)
 				return err
@@ -152,8 +158,8 @@
 }
 
 // sendChunksSlowly sends a chunked body of shortBodySize bytes at slowWriteRate.
-func sendChunksSlowly(ctx context.Context, conn net.Conn, index int) {
-	head := crowdRequestHead(orderPath, fmt.Sprintf("c%d", index), trafficTimeout,
+func sendChunksSlowly(ctx context.Context, conn net.Conn, _ int) {
+	head := crowdRequestHead(orderPath, newRequestID("c"), trafficTimeout,
 		"Transfer-Encoding: chunked\r\n")
 	if _, err := io.WriteString(conn, head); err != nil {
 		return
@@ -181,9 +187,9 @@
 }
 
 // readSlowly reads a long response at slowReadRate.
-func readSlowly(ctx context.Context, conn net.Conn, index int) {
+func readSlowly(ctx context.Context, conn net.Conn, _ int) {
 	_ = conn.(*net.TCPConn).SetReadBuffer(slowReceiveBuffer)
-	head := crowdRequestHead(longResponsePath, fmt.Sprintf("l%d", index), trafficTimeout,
+	head := crowdRequestHead(longResponsePath, newRequestID("l"), trafficTimeout,
 		"Content-Length: 0\r\n")
 	if _, err := io.WriteString(conn, head); err != nil {
 		return
@@ -198,12 +204,12 @@
 }
 
 // sendFast sends bodies of 1 MB without a pause.
-func sendFast(ctx context.Context, conn net.Conn, index int) {
+func sendFast(ctx context.Context, conn net.Conn, _ int) {
 	const size = 1 << 20
-	head := crowdRequestHead(orderPath, fmt.Sprintf("f%d", index), trafficTimeout,
-		fmt.Sprintf("Content-Length: %d\r\n", size))
 	reader := bufio.NewReader(conn)
 	for ctx.Err() == nil {
+		head := crowdRequestHead(orderPath, newRequestID("f"), trafficTimeout,
+			fmt.Sprintf("Content-Length: %d\r\n", size))
 		sent := make(chan error, 1)
 		go func() {
 			_, err := io.WriteString(conn, head+strings.Repeat("x", size))
@@ -217,7 +223,7 @@
 
 // stopHalfWay sends half of a long body and waits for the end of the connection.
 func stopHalfWay(ctx context.Context, conn net.Conn, index int) {
-	head := crowdRequestHead(orderPath, fmt.Sprintf("h%d", index), trafficTimeout,
+	head := crowdRequestHead(orderPath, newRequestID("h"), trafficTimeout,
 		fmt.Sprintf("Content-Length: %d\r\n", longBodySize))
 	if _, err := io.WriteString(conn, head+strings.Repeat("x", shortBodySize/2)); err == nil {
 		awaitClose(ctx, conn, index)
@@ -236,11 +242,11 @@
 const shortFieldsSize = 15_000
 
 // sendShortFields sends requests with very many short fields.
-func sendShortFields(ctx context.Context, conn net.Conn, index int) {
-	head := crowdRequestHead(orderPath, fmt.Sprintf("n%d", index), trafficTimeout,
-		"Content-Length: 0\r\n"+shortFields(shortFieldsSize))
+func sendShortFields(ctx context.Context, conn net.Conn, _ int) {
+	fields := "Content-Length: 0\r\n" + shortFields(shortFieldsSize)
 	reader := bufio.NewReader(conn)
 	for ctx.Err() == nil {
+		head := crowdRequestHead(orderPath, newRequestID("n"), trafficTimeout, fields)
 		if _, err := io.WriteString(conn, head); err != nil || !skipResponse(reader) {
 			return
 		}
--- a/cmd/agent/memory_test.go
+++ b/cmd/agent/memory_test.go
@@ -127,7 +127,7 @@
 func (p *program) peakMemory(t *testing.T, during time.Duration) (bytes int64) {
 	t.Helper()
 	time.Sleep(during) // the time for which the crowd lasts
-	usage, err := processtest.PeakMemory(p.cmd.Process.Pid)
+	usage, err := processtest.StatusBytes(p.cmd.Process.Pid, processtest.PeakMemory)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/cmd/agent/upgrade_test.go
+++ b/cmd/agent/upgrade_test.go
@@ -47,7 +47,12 @@
 // startProgram starts a process that inherits the listener and waits until it is ready.
 func (l sharedListener) startProgram(t *testing.T, config agentConfig) *program {
 	t.Helper()
-	p := newProgram(t, config.text(t))
+	return l.start(t, newProgram(t, config.text(t)))
+}
+
+// start starts a prepared program like startProgram.
+func (l sharedListener) start(t *testing.T, p *program) *program {
+	t.Helper()
 	p.cmd.ExtraFiles = []*os.File{nil, nil, l.file} // descriptors 3, 4 and inheritedFD
 	p.setenv(listenFDVariable, strconv.Itoa(inheritedFD))
 	p.setenv("TMPDIR", l.tempDir)
--- a/internal/processtest/usage.go
+++ b/internal/processtest/usage.go
@@ -81,8 +81,15 @@
 	return 0
 }
 
-// PeakMemory returns the most resident memory that a running process has had, in bytes, from /proc/PID/status (proc(5)).
-func PeakMemory(pid int) (int64, error) {
+// The lines of /proc/PID/status that StatusBytes reads (proc(5)).
+const (
+	PeakMemory      = "VmHWM"   // the most resident memory so far
+	AnonymousMemory = "RssAnon" // resident memory that is not from files
+	FileMemory      = "RssFile" // resident pages of files, such as the program, which processes share
+)
+
+// StatusBytes reads a line of /proc/PID/status of a running process, in bytes.
+func StatusBytes(pid int, name string) (int64, error) {
 	path := fmt.Sprintf("/proc/%d/status", pid)
 	text, err := os.ReadFile(path)
 	if err != nil {
@@ -90,9 +97,9 @@
 	}
 	for line := range strings.Lines(string(text)) {
 		var kilobytes int64
-		if n, _ := fmt.Sscanf(line, "VmHWM: %d kB", &kilobytes); n == 1 { // ignore the error: other lines do not match
+		if n, _ := fmt.Sscanf(line, name+": %d kB", &kilobytes); n == 1 { // ignore the error: other lines do not match
 			return kilobytes * bytesPerKilobyte, nil
 		}
 	}
-	return 0, fmt.Errorf("%s has no line VmHWM", path)
+	return 0, fmt.Errorf("%s has no line %s", path, name)
 }
