Limit what is read of a refused upload, and the rate at which it is discarded

Cause: the agent read all of what it had refused, in pieces of 1 KB, which took its one processor. Now it reads 64 KB, an ordinary body, of a request that is refused for lack of memory, 4 KB each 4 ms, and gives a client that sends more 0.3 s to read the response. The servers of the soak read long bodies slowly, as the crowd's do.

--- a/cmd/agent/soak_test.go
+++ b/cmd/agent/soak_test.go
@@ -91,9 +91,14 @@
 
 // serve is a server that records which requests it executes.
 func (s *soak) serve(w http.ResponseWriter, r *http.Request) {
-	if _, err := io.Copy(io.Discard, r.Body); err != nil {
+	if r.ContentLength > shortBodySize {
+		readPaced(r) // as servers that read slowly
+	} else if _, err := io.Copy(io.Discard, r.Body); err != nil {
 		return
 	}
+	if r.Context().Err() != nil {
+		return // incomplete
+	}
 	s.mu.Lock()
 	id := r.Header.Get("Request-Id")
 	s.executed[id]++
--- a/cmd/agent/upgrade_memory_test.go
+++ b/cmd/agent/upgrade_memory_test.go
@@ -17,8 +17,8 @@
 	samplePause = 20 * time.Millisecond
 )
 
-// Two processes of an upgrade stay within the memory limit together, beside a crowd. The pages of the program, which they
-// share, count once.
+// Two processes of an upgrade stay within the memory limit together, beside a crowd. The pages of the program, which
+// they share, count once.
 func TestUpgradeBesideACrowdStaysWithinTheMemoryLimit(t *testing.T) {
 	binary := buildAgent(t)
 	forms := crowdForms()
--- a/internal/agent/downstream/framed_conn.go
+++ b/internal/agent/downstream/framed_conn.go
@@ -267,7 +267,7 @@
 		return err
 	}
 	if status == http.StatusServiceUnavailable {
-		c.skip(c.bodyLeft-int64(len(c.buffer)), message.BodyGracePeriod)
+		c.skip(min(c.bodyLeft-int64(len(c.buffer)), message.MaxRefusedBody), message.BodyGracePeriod)
 	} else {
 		c.skip(maxRequestHead, message.LingerTimeout)
 	}
@@ -278,12 +278,13 @@
 func (c *framedConn) skip(size int64, timeout time.Duration) {
 	until := time.Now().Add(timeout)
 	var scratch [initialReadBuffer]byte
-	for size > 0 && time.Now().Before(until) {
+	for pace := (message.DiscardPace{}); size > 0 && time.Now().Before(until); {
 		_ = c.SetReadDeadline(time.Now().Add(message.LingerTimeout)) // a failure shows in the read
 		n, err := c.clientConn.Read(scratch[:])
 		if err != nil {
 			return
 		}
 		size -= int64(n)
+		pace.Wait(n)
 	}
 }
--- a/internal/agent/downstream/response.go
+++ b/internal/agent/downstream/response.go
@@ -3,7 +3,6 @@
 import (
 	"net/http"
 	"strconv"
-	"time"
 
 	"fernbeam.example/fernbeam/internal/agent/message"
 )
@@ -18,7 +17,11 @@
 		// closed, so what follows the body is not read as another request.
 		closeAfterResponse(w)
 		defer func() {
-			request.Streamed.Discard(discardPauseAfter(response)) // lets the client finish sending
+			if response.NoMemory {
+				request.Streamed.DiscardRefused()
+				return
+			}
+			request.Streamed.Discard() // lets the client finish sending
 		}()
 	}
 	if s.draining.Load() { // draining may have started since the request arrived
@@ -41,15 +44,6 @@
 	}
 }
 
-// discardPauseAfter returns how long a client may pause while the rest of its request is read after a response. A
-// client that is rejected for lack of memory must not keep its connection for long.
-func discardPauseAfter(response message.Response) time.Duration {
-	if response.Kind == message.Rejected {
-		return message.LingerTimeout
-	}
-	return message.BodyGracePeriod
-}
-
 // writeStatus writes a response without a body. It counts and logs a response that can't be written, unless the client
 // has gone before.
 func (s *Server) writeStatus(w http.ResponseWriter, request *message.Request, status int) {
--- a/internal/agent/downstream/server.go
+++ b/internal/agent/downstream/server.go
@@ -261,7 +261,11 @@
 		return
 	}
 	if s.rejectingNew.Load() || request.refused {
-		rejection := message.Response{Kind: message.Rejected, RetryAfterMs: s.classes.Load().retryAfterMs}
+		rejection := message.Response{
+			Kind:         message.Rejected,
+			RetryAfterMs: s.classes.Load().retryAfterMs,
+			NoMemory:     request.refused,
+		}
 		s.writeResponse(w, request.Request, rejection)
 		return
 	}
--- a/internal/agent/message/message.go
+++ b/internal/agent/message/message.go
@@ -48,6 +48,7 @@
 type Response struct {
 	Kind         ResponseKind
 	RetryAfterMs float64 // Rejected only: the delay before the client may retry
+	NoMemory     bool    // Rejected only: the memory budget has no space for the request
 	TimedOut     bool    // Failed only: the deadline has passed
 	BadRequest   bool    // Failed only: the request is invalid or incomplete
 	Header       http.Header
--- a/internal/agent/message/request_body.go
+++ b/internal/agent/message/request_body.go
@@ -71,12 +71,8 @@
 	return n, err
 }
 
-// Discard reads the rest of a body that nobody needs, so that the client can send it and then read the response. It
-// gives up after a pause of maxPause.
-func (b *ClientBody) Discard(maxPause time.Duration) {
-	b.mu.Lock()
-	b.maxPause = maxPause
-	b.mu.Unlock()
+// Discard reads the rest of a body that nobody needs, so that the client can send it and then read the response.
+func (b *ClientBody) Discard() {
 	var scratch [discardBufferSize]byte
 	for {
 		if _, err := b.Read(scratch[:]); err != nil {
@@ -85,6 +81,46 @@
 	}
 }
 
+// DiscardRefused reads what follows a request that was refused for lack of memory, up to MaxRefusedBody bytes and until
+// the client pauses for LingerTimeout. A client that sends more has as long to read the response.
+func (b *ClientBody) DiscardRefused() {
+	b.mu.Lock()
+	b.maxPause = LingerTimeout
+	b.mu.Unlock()
+	var scratch [discardBufferSize]byte
+	pace := DiscardPace{}
+	for read := 0; read < MaxRefusedBody; {
+		n, err := b.Read(scratch[:])
+		if err != nil {
+			return
+		}
+		read += n
+		pace.Wait(n)
+	}
+	time.Sleep(LingerTimeout)
+}
+
+// MaxRefusedBody is how much is read of the body of a refused request, in bytes: all of an ordinary one.
+const MaxRefusedBody = 64 << 10
+
+const (
+	// discardStep is the number of bytes that are discarded between two pauses of discardPause. Clients that send at full
+	// speed would otherwise take the processor from others.
+	discardStep, discardPause = 4 << 10, 4 * time.Millisecond
+)
+
+// DiscardPace limits the rate at which bytes of one connection are read and discarded. The zero value is ready to use.
+type DiscardPace struct{ sincePause int }
+
+// Wait is called after n bytes have been discarded, and pauses if necessary.
+func (p *DiscardPace) Wait(n int) {
+	p.sincePause += n
+	if p.sincePause >= discardStep {
+		p.sincePause = 0
+		time.Sleep(discardPause)
+	}
+}
+
 // readDeadlineAfter returns the read deadline of a client connection after a body that ended with err. After a complete
 // body there is no deadline, because the server reads on to detect that the client closes the connection. After an
 // incomplete body, the agent continues to read for LingerTimeout.
--- a/internal/agent/shared_limits.go
+++ b/internal/agent/shared_limits.go
@@ -77,9 +77,9 @@
 	s.admin.SetConnLimit(s.cfg.MaxAdminConns(processes))
 }
 
-// holdLock locks the file at path until ctx is done. While another process holds the lock, this process has half of the
-// limits, and so has the process that holds it, as it sees by announceWaiting. The kernel releases the locks of a process
-// however the process ends.
+// holdLock locks the file at path until ctx is done. While another process holds the lock, this process has half of
+// the limits, and so has the process that holds it, as it sees by announceWaiting. The kernel releases the locks of a
+// process however the process ends.
 func (s *sharedLimits) holdLock(ctx context.Context, path string) error {
 	lockFile, err := os.OpenFile(path, os.O_CREATE|os.O_RDWR, 0o600)
 	if err != nil {
@@ -153,8 +153,8 @@
 // ranges are independent of the lock of the whole file.
 func waitingRange(lockType int16) unix.Flock_t { return unix.Flock_t{Type: lockType, Len: 1} }
 
-// announceWaiting tells the process that holds the lock of a file whether this one waits for it. If that fails, the other
-// process learns of this one when it shuts down.
+// announceWaiting tells the process that holds the lock of a file whether this one waits for it. If that fails, the
+// other process learns of this one when it shuts down.
 func announceWaiting(file *os.File, waits bool) {
 	lockType := int16(unix.F_UNLCK)
 	if waits {
--- a/internal/agent/shared_limits_test.go
+++ b/internal/agent/shared_limits_test.go
@@ -24,9 +24,9 @@
 	pool    *upstream.Pool
 }
 
-func newLimitedProcess(t *testing.T, sockets int) limitedProcess {
+func newLimitedProcess(t *testing.T) limitedProcess {
 	t.Helper()
-	cfg := &config.Config{MemoryMB: 64, Sockets: sockets, Settings: balancer.Settings{}}
+	cfg := &config.Config{MemoryMB: 64, Sockets: 256, Settings: balancer.Settings{}}
 	pool := upstream.NewPool(cfg)
 	clients := downstream.New(t.Context(), cfg, downstream.Options{
 		Listener: newUnusedListener(),
@@ -80,7 +80,7 @@
 // half as soon as the second has started.
 func TestTwoProcessesShareTheLimits(t *testing.T) {
 	lock := filepath.Join(t.TempDir(), "lock")
-	first, second := newLimitedProcess(t, 256), newLimitedProcess(t, 256)
+	first, second := newLimitedProcess(t), newLimitedProcess(t)
 	all := first.available()
 	firstCtx, endFirst := context.WithCancel(t.Context())
 	if err := first.holdLock(firstCtx, lock); err != nil {
@@ -117,7 +117,7 @@
 // A process has all of the limits again once another one that waited beside it has ended.
 func TestLimitsAreRestoredWhenTheOtherProcessEnds(t *testing.T) {
 	lock := filepath.Join(t.TempDir(), "lock")
-	first, second := newLimitedProcess(t, 256), newLimitedProcess(t, 256)
+	first, second := newLimitedProcess(t), newLimitedProcess(t)
 	all := first.available()
 	if err := first.holdLock(t.Context(), lock); err != nil {
 		t.Fatal(err)
--- a/internal/agent/socket/socket.go
+++ b/internal/agent/socket/socket.go
@@ -28,8 +28,9 @@
 // for anything that is not a socket.
 func IsReadable(socket any) bool { return pollSocket(socket, unix.POLLIN, unix.POLLIN) }
 
-// pollSocket polls a socket for events without blocking, and reports whether any of the wanted events has occurred.
-func pollSocket(socket any, events, wanted int16) bool {
+// withDescriptor calls use with the descriptor of a socket, also after a deadline of the socket, and reports whether it
+// did. It does not for anything that is not an open socket.
+func withDescriptor(socket any, use func(fd int)) bool {
 	conn, ok := socket.(syscall.Conn)
 	if !ok {
 		return false
@@ -38,9 +39,14 @@
 	if err != nil {
 		return false
 	}
+	return raw.Control(func(fd uintptr) { use(int(fd)) }) == nil
+}
+
+// pollSocket polls a socket for events without blocking, and reports whether any of the wanted events has occurred.
+func pollSocket(socket any, events, wanted int16) bool {
 	occurred := false
-	err = raw.Control(func(fd uintptr) { occurred = pollDescriptor(int32(fd), events, wanted, unix.Poll) })
-	return err == nil && occurred
+	used := withDescriptor(socket, func(fd int) { occurred = pollDescriptor(int32(fd), events, wanted, unix.Poll) })
+	return used && occurred
 }
 
 // pollDescriptor polls a file descriptor like pollSocket. It retries if poll(2) is interrupted by a signal.
@@ -65,17 +71,9 @@
 
 // Peek copies the bytes that have arrived on a connection to buffer without reading them, and returns their number.
 func Peek(conn net.Conn, buffer []byte) int {
-	socket, ok := conn.(syscall.Conn)
-	if !ok {
-		return 0
-	}
-	raw, err := socket.SyscallConn()
-	if err != nil {
-		return 0
-	}
 	peeked := 0
-	_ = raw.Control(func(fd uintptr) { // a failure means that there is nothing to read
-		n, _, err := unix.Recvfrom(int(fd), buffer, unix.MSG_PEEK|unix.MSG_DONTWAIT)
+	withDescriptor(conn, func(fd int) {
+		n, _, err := unix.Recvfrom(fd, buffer, unix.MSG_PEEK|unix.MSG_DONTWAIT)
 		if err == nil {
 			peeked = n
 		}
@@ -88,18 +86,10 @@
 
 // Discard reads the bytes that have arrived on a connection, without blocking.
 func Discard(conn net.Conn) {
-	socket, ok := conn.(syscall.Conn)
-	if !ok {
-		return
-	}
-	raw, err := socket.SyscallConn()
-	if err != nil {
-		return
-	}
-	_ = raw.Control(func(fd uintptr) { // a failure means that there is nothing to read
+	withDescriptor(conn, func(fd int) {
 		var buffer [discardBufferSize]byte
 		for total := 0; total < maxDiscarded; {
-			n := ReadAvailable(int(fd), buffer[:])
+			n := ReadAvailable(fd, buffer[:])
 			if n == 0 {
 				return
 			}
@@ -109,21 +99,14 @@
 }
 
 // UnreadBytes returns the number of bytes that have arrived on a connection and have not been read. It returns 0 if
-// conn is not a socket.
+// that is not known.
 func UnreadBytes(conn net.Conn) int {
-	socket, ok := conn.(syscall.Conn)
-	if !ok {
-		return 0
-	}
-	raw, err := socket.SyscallConn()
-	if err != nil {
-		return 0
-	}
 	unread := 0
-	err = raw.Control(func(fd uintptr) { unread, err = unix.IoctlGetInt(int(fd), unix.TIOCINQ) })
-	if err != nil {
-		return 0
-	}
+	withDescriptor(conn, func(fd int) {
+		if n, err := unix.IoctlGetInt(fd, unix.TIOCINQ); err == nil {
+			unread = n
+		}
+	})
 	return unread
 }
 
