--- a/internal/agent/early_response_test.go
+++ b/internal/agent/early_response_test.go
@@ -1,6 +1,7 @@
 package agent
 
 import (
+	"bufio"
 	"io"
 	"net"
 	"net/http"
@@ -53,3 +54,24 @@
 		})
 	}
 }
+
+// A connection on which a response was streamed before the end of its request is counted once. Guards against a count of
+// connections that falls below their number, so that the agent opens more than it may.
+func TestConnectionOfAnEarlyStreamedResponseIsCountedOnce(t *testing.T) {
+	t.Parallel()
+	listener := agenttest.Listen(t)
+	go agenttest.AcceptAll(listener, func(conn net.Conn) {
+		if _, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
+			send(conn, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n")
+			<-t.Context().Done()
+		}
+	})
+	agent := startAgent(t, discoveryWith(t, listener.Addr().String()), nil)
+	client := agent.dial()
+	send(client, orderHead(timeoutMs, 4*message.MaxBufferedBody)+strings.Repeat("x", 2*message.MaxBufferedBody))
+	agenttest.FinalStatus(t, client)
+	agenttest.WaitUntil(t, "no connection to the server is open", func() bool { return agent.pool.Size() <= 0 })
+	if size := agent.pool.Size(); size != 0 {
+		t.Errorf("%d connections counted, want none", size)
+	}
+}
