--- a/internal/agent/early_response_test.go
+++ b/internal/agent/early_response_test.go
@@ -55,8 +55,8 @@
 	}
 }
 
-// A connection on which a response was streamed before the end of its request is counted once. Guards against a count of
-// connections that falls below their number, so that the agent opens more than it may.
+// A connection on which a response was streamed before the end of its request is counted once. Guards against a count
+// of connections that falls below their number, so that the agent opens more than it may.
 func TestConnectionOfAnEarlyStreamedResponseIsCountedOnce(t *testing.T) {
 	t.Parallel()
 	listener := agenttest.Listen(t)
