Let a new leader confirm no list before an entry of its own term is applied

Callers: after a leader was cut off or stopped, another discovery instance served a list without a write that had been acknowledged 2.5 s before, 1 s and half a second for the election allowed.

Cause: a new leader has the entries that its predecessor committed, but applies them only once an entry of its own term is committed. The round of heartbeats that confirms a list needs no such entry, so that the new leader told its old version as verified, and all took their lists for complete. Step 1 of the read index (Ongaro, 2014, section 6.4) was missing. One cause more is not needed: the first confirmation of each term now waits for a barrier, later ones only for heartbeats as before.

--- a/internal/discovery/server/confirmation.go
+++ b/internal/discovery/server/confirmation.go
@@ -97,10 +97,10 @@
 }
 
 // verifiedProgress returns the leader's progress after a round of heartbeats that shows that it still is
-// the leader. Unlike committedProgress, it adds no entry to the Raft log.
+// the leader. Unlike committedProgress, it adds an entry to the Raft log only once in a leader's term.
 func (n *Node) verifiedProgress(ctx context.Context) (progress, error) {
 	if n.isLeader() {
-		if err := n.raft.VerifyLeader().Error(); err != nil {
+		if err := n.verifyLeader(); err != nil {
 			return progress{}, err
 		}
 		return progress{version: n.state.currentVersion(), applied: n.raft.AppliedIndex()}, nil
@@ -112,6 +112,26 @@
 	return progress{version: leader.Version, applied: leader.Applied}, nil
 }
 
+// verifyLeader returns nil if this instance is the leader, as a round of heartbeats shows, and has applied
+// everything that was committed when the call began. A new leader has the entries that its predecessors
+// committed, but knows that they are committed only once an entry of its own term is (Ongaro, 2014, section
+// 6.4, step 1).
+func (n *Node) verifyLeader() error {
+	if err := n.raft.VerifyLeader().Error(); err != nil {
+		return err
+	}
+	term := n.raft.CurrentTerm()
+	if n.appliedTerm.Load() == term {
+		return nil
+	}
+	if err := n.raft.Barrier(readIndexTimeout).Error(); err != nil {
+		return err
+	}
+	// The term may have ended meanwhile. The barrier was then applied in a later one, and is repeated in that.
+	n.appliedTerm.Store(term)
+	return nil
+}
+
 // awaitFresh requests a confirmation and waits up to readIndexTimeout until this instance may serve reads,
 // for example after a start or after its process was stopped. It reports whether the instance may. It
 // returns early if that confirmation fails, unless this instance has yet to catch up after a start or an
--- a/internal/discovery/server/node.go
+++ b/internal/discovery/server/node.go
@@ -16,6 +16,7 @@
 	"log/slog"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/raft"
@@ -39,6 +40,8 @@
 	// confirmations tell how fresh the list is; a value in confirmationRequests asks for one now.
 	confirmations        confirmations
 	confirmationRequests chan struct{}
+	// appliedTerm is the last Raft term as whose leader this instance is known to have applied an entry.
+	appliedTerm atomic.Uint64
 
 	raft  *raft.Raft
 	store *retryingStore
--- a/internal/discovery/server/nodes_test.go
+++ b/internal/discovery/server/nodes_test.go
@@ -87,12 +87,21 @@
 
 // startThreeNodes starts a cluster of three instances in this process. The first one bootstraps it.
 func startThreeNodes(tb testing.TB, electionTimeout time.Duration) ([]server.Config, []*server.Node) {
+	tb.Helper()
+	return startThreeNodesOn(tb, electionTimeout, nil)
+}
+
+// startThreeNodesOn is like startThreeNodes, with stores that wrapStore wraps if it is not nil.
+func startThreeNodesOn(
+	tb testing.TB, electionTimeout time.Duration, wrapStore func(server.Store) server.Store,
+) ([]server.Config, []*server.Node) {
 	tb.Helper()
 	configs := make([]server.Config, 3)
 	for i := range configs {
 		id := fmt.Sprint("n", i)
 		configs[i] = nodeConfig(tb, id, filepath.Join(tb.TempDir(), "data"), electionTimeout)
 		configs[i].Bootstrap = i == 0
+		configs[i].WrapStore = wrapStore
 	}
 	nodes := make([]*server.Node, len(configs))
 	for i := range configs {
--- a/internal/discovery/server/status.go
+++ b/internal/discovery/server/status.go
@@ -29,8 +29,8 @@
 
 // serveStatus responds with this instance's Status. With ?consistent=true it first waits for a barrier,
 // which ensures that the leader has applied everything committed before. With ?verified=true it first
-// waits for a round of heartbeats, which ensures that it still is the leader. With either parameter, an
-// instance that is not the leader responds with 503.
+// waits for a round of heartbeats, which ensures that it still is the leader; see verifyLeader. With either
+// parameter, an instance that is not the leader responds with 503.
 func (n *Node) serveStatus(w http.ResponseWriter, r *http.Request) {
 	if r.URL.Query().Get(endpoint.QueryConsistent) == "true" {
 		if err := n.raft.Barrier(readIndexTimeout).Error(); err != nil {
@@ -39,7 +39,7 @@
 		}
 	}
 	if r.URL.Query().Get(endpoint.QueryVerified) == "true" {
-		if err := n.raft.VerifyLeader().Error(); err != nil {
+		if err := n.verifyLeader(); err != nil {
 			http.Error(w, "not the leader: "+err.Error(), http.StatusServiceUnavailable)
 			return
 		}
