Drop the trailers of chunked messages unparsed, as no budget counts their fields

A trailer of 3.9 KB in 696 short fields holds 73 KB for as long as its request is in progress (measured on net/http), and the budget counts 10 KB for a request.

Trailers are not passed on. A filter removes their fields from a request before the HTTP server parses them, and responses are decoded without them. Both read at most 4 KB of a trailer, as before. The crowds get three more forms: trailers of requests, of responses, and long response heads.

--- a/cmd/agent/crowd_test.go
+++ b/cmd/agent/crowd_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -20,7 +21,11 @@
 	// longResponsePath is the path of requests that get a response of longBodySize bytes.
 	longResponsePath = "/api/long"
 	longBodySize     = 8 << 20
-	shortBodySize    = 60_000
+	// trailerResponsePath is the path of requests whose response is chunked and ends with very many short trailer fields,
+	// and headResponsePath that of requests whose response has a long head.
+	trailerResponsePath = "/api/trailer"
+	headResponsePath    = "/api/head"
+	shortBodySize       = 60_000
 	// slowReceiveBuffer is the size of a slow reader's receive buffer, in bytes: what it has not read stays with its peer.
 	slowReceiveBuffer = 16 << 10
 	// redialPause is how long a member of a crowd waits before it connects again.
@@ -59,6 +64,9 @@
 		{name: "stops half-way", member: stopHalfWay, clients: 430},
 		{name: "many short fields", member: sendShortFields, clients: usualClients},
 		{name: "many short fields, unfinished", member: sendUnfinishedFields, clients: usualClients},
+		{name: "many short trailer fields", member: sendShortTrailerFields, clients: usualClients},
+		{name: "responses with many short trailer fields", member: readTrailersLate, clients: usualClients},
+		{name: "responses with long heads, not read", member: readNoHeads, clients: usualClients},
 		{name: "silent", member: awaitClose, clients: 430},
 	}
 	members := make([]crowdMember, len(forms))
@@ -187,13 +195,18 @@
 }
 
 // readSlowly reads a long response at slowReadRate.
-func readSlowly(ctx context.Context, conn net.Conn, _ int) {
+func readSlowly(ctx context.Context, conn net.Conn, index int) {
 	_ = conn.(*net.TCPConn).SetReadBuffer(slowReceiveBuffer)
 	head := crowdRequestHead(longResponsePath, newRequestID("l"), trafficTimeout,
 		"Content-Length: 0\r\n")
-	if _, err := io.WriteString(conn, head); err != nil {
-		return
+	if _, err := io.WriteString(conn, head); err == nil {
+		readPiecesSlowly(ctx, conn, index)
 	}
+}
+
+// readPiecesSlowly reads from a connection at slowReadRate until it ends.
+func readPiecesSlowly(ctx context.Context, conn net.Conn, _ int) {
+	_ = conn.(*net.TCPConn).SetReadBuffer(slowReceiveBuffer)
 	buffer := make([]byte, slowReadRate*int(paceInterval)/int(time.Second))
 	for ctx.Err() == nil {
 		if _, err := io.ReadFull(conn, buffer); err != nil {
@@ -261,6 +274,50 @@
 	}
 }
 
+// shortTrailerSize is the size of a trailer of short fields, in bytes. HTTP servers and clients read no longer ones.
+const shortTrailerSize = 3_900
+
+// sendShortTrailerFields sends chunked bodies with very many short trailer fields, and reads the long responses slowly.
+func sendShortTrailerFields(ctx context.Context, conn net.Conn, index int) {
+	head := crowdRequestHead(longResponsePath, newRequestID("r"), trafficTimeout, "Transfer-Encoding: chunked\r\n")
+	if _, err := io.WriteString(conn, head+"1\r\nx\r\n0\r\n"+shortFields(shortTrailerSize)+"\r\n"); err != nil {
+		return
+	}
+	readPiecesSlowly(ctx, conn, index)
+}
+
+// readTrailersLate requests responses of different sizes that end with a trailer, and reads them only in part.
+func readTrailersLate(ctx context.Context, conn net.Conn, index int) {
+	_ = conn.(*net.TCPConn).SetReadBuffer(slowReceiveBuffer)
+	path := fmt.Sprintf("%s?size=%d", trailerResponsePath, (1+index%trailerSizes)*trailerSizeStep)
+	head := crowdRequestHead(path, newRequestID("q"), trafficTimeout, "Content-Length: 0\r\n")
+	if _, err := io.WriteString(conn, head); err == nil {
+		pause(ctx, crowdTime)
+	}
+}
+
+const (
+	// trailerSizeStep is the step between the sizes of the responses with trailers, in bytes, and trailerSizes their
+	// number.
+	trailerSizeStep, trailerSizes = 32 << 10, 64
+	// headFields and headFieldSize are the number and the size of the fields of a response with a long head.
+	headFields, headFieldSize = 90, 150
+	// unreadRequests is the number of requests that a client sends whose responses it does not read.
+	unreadRequests = 60
+)
+
+// readNoHeads sends requests whose responses have long heads, and does not read the responses.
+func readNoHeads(ctx context.Context, conn net.Conn, _ int) {
+	_ = conn.(*net.TCPConn).SetReadBuffer(slowReceiveBuffer)
+	for range unreadRequests {
+		head := crowdRequestHead(headResponsePath, newRequestID("u"), trafficTimeout, "Content-Length: 0\r\n")
+		if _, err := io.WriteString(conn, head); err != nil {
+			return
+		}
+	}
+	pause(ctx, crowdTime)
+}
+
 // awaitClose sends nothing more and reads until the agent closes the connection.
 func awaitClose(_ context.Context, conn net.Conn, _ int) { _, _ = io.Copy(io.Discard, conn) }
 
@@ -386,16 +443,33 @@
 			_, _ = io.Copy(io.Discard, r.Body)
 		}
 		simulateWork(serviceTime)
-		if r.URL.Path != longResponsePath {
+		switch r.URL.Path {
+		case longResponsePath:
+			w.Header().Set("Content-Length", fmt.Sprint(longBodySize))
+			writeLongBody(w, longBodySize)
+		case trailerResponsePath:
+			size, _ := strconv.Atoi(r.URL.Query().Get("size")) // the crowd sends numbers only
+			writeLongBody(w, size)
+			for i := range shortTrailerSize / len("1ff: \r\n") {
+				w.Header().Set(http.TrailerPrefix+fmt.Sprintf("%x", i), "")
+			}
+		case headResponsePath:
+			for i := range headFields {
+				w.Header().Set(fmt.Sprint("X-", i), strings.Repeat("h", headFieldSize))
+			}
+			writeBody(w, "done")
+		default:
 			writeBody(w, "done")
-			return
 		}
-		w.Header().Set("Content-Length", fmt.Sprint(longBodySize))
-		piece := strings.Repeat("y", 64<<10)
-		for sent := 0; sent < longBodySize; sent += len(piece) {
-			if _, err := io.WriteString(w, piece); err != nil {
-				return
-			}
+	}
+}
+
+// writeLongBody writes size bytes of a body, or until that fails.
+func writeLongBody(w io.Writer, size int) {
+	piece := strings.Repeat("y", 32<<10)
+	for sent := 0; sent < size; sent += len(piece) {
+		if _, err := io.WriteString(w, piece); err != nil {
+			return
 		}
 	}
 }
--- a/internal/agent/downstream/framed_conn.go
+++ b/internal/agent/downstream/framed_conn.go
@@ -44,6 +44,8 @@
 	// withoutPause is the number of requests since the client last had to be waited for.
 	withoutPause int
 	opaque       bool // the end of the current request is not known; no request may follow it
+	isChunked    bool // the body of the current request is chunked
+	trailer      trailerFilter
 	discarded    bool // bytes were discarded: no request may follow those in the buffer
 	arrivals     arrivalTimes
 	// lastByteAt is when the last byte of the current request arrived, if it arrived while an earlier one was in progress.
@@ -62,7 +64,7 @@
 		c.headLeft -= n
 		return n, nil
 	case c.opaque:
-		return c.readBody(p, int64(len(p)))
+		return c.readOpaque(p)
 	case c.bodyLeft > 0:
 		n, err := c.readBody(p, c.bodyLeft)
 		c.bodyLeft -= int64(n)
@@ -101,6 +103,23 @@
 	return c.clientConn.Read(p[:min(limit, int64(len(p)))])
 }
 
+// readOpaque reads from a body whose end is not known, without the fields of its trailer.
+func (c *framedConn) readOpaque(p []byte) (int, error) {
+	for {
+		n, err := c.readBody(p, int64(len(p)))
+		if !c.isChunked {
+			return n, err
+		}
+		kept, malformed := c.trailer.filter(p[:n])
+		if malformed != nil {
+			return len(kept), malformed
+		}
+		if len(kept) > 0 || err != nil {
+			return len(kept), err
+		}
+	}
+}
+
 // fill reads more bytes into the buffer. It returns errBufferFull if that can't be made larger.
 func (c *framedConn) fill(limit int) error {
 	if len(c.buffer) == cap(c.buffer) && !c.grow(limit) {
@@ -228,6 +247,7 @@
 func (c *framedConn) begin(size int) error {
 	head := parseHead(c.buffer[:size])
 	c.bodyLeft, c.opaque = head.bodySize, head.hasUnknownBody
+	c.isChunked, c.trailer = head.isChunked, trailerFilter{}
 	c.lastByteAt = c.arrivals.timeOf(int64(size) + head.bodySize)
 	reserved, status := c.admission.admit(head)
 	if status != 0 {
--- a/internal/agent/downstream/head.go
+++ b/internal/agent/downstream/head.go
@@ -20,6 +20,7 @@
 	// bodySize is the length of the body. It is not known if hasUnknownBody is set.
 	bodySize       int64
 	hasUnknownBody bool
+	isChunked      bool // the body is in the chunked encoding, if the HTTP server accepts the head
 }
 
 // findHeadEnd returns the number of bytes up to the end of the empty line that ends a head, or 0 if text has none.
@@ -63,6 +64,7 @@
 			head.hasUnknownBody = true
 		case bytes.EqualFold(name, []byte("Transfer-Encoding")):
 			head.hasUnknownBody = true
+			head.isChunked = true
 		case bytes.EqualFold(name, []byte("Content-Length")):
 			size, err := strconv.ParseUint(string(bytes.TrimSpace(value)), 10, 63)
 			if err != nil || lengthSeen {
--- a/internal/agent/upstream/response_head.go
+++ b/internal/agent/upstream/response_head.go
@@ -44,6 +44,7 @@
 			return nil, err
 		}
 		if resp.StatusCode >= http.StatusOK || resp.StatusCode == http.StatusSwitchingProtocols {
+			c.dropTrailer(resp)
 			return resp, nil
 		}
 	}
@@ -111,13 +112,13 @@
 	return nil
 }
 
-// releaseReserved gives up what a long head has reserved. It is called when the response has been read.
+// releaseReserved gives up what a long head has reserved, and the read buffer that it needed. It is called when the
+// response has been read.
 func (c *serverConn) releaseReserved() {
-	if c.reserved == 0 {
-		return
+	if c.reserved > 0 {
+		c.budget.Release(c.reserved)
+		c.reserved = 0
 	}
-	c.budget.Release(c.reserved)
-	c.reserved = 0
 	if c.reader.Size() > readBufferSize {
 		c.reader = bufio.NewReaderSize(c.Conn, readBufferSize)
 	}
