Count a long response head until its response is released

A long head was counted until its connection was idle again, while a client that does not read keeps the response and its head for longer: up to some 85 KB each, in as many requests as the budget admits. What it has reserved now goes along with the body, which the client's side releases. TestLongResponseHeadCountsUntilTheResponseIsReleased fails on the code before ("the budget does not count the head of a response that is still held").

--- a/internal/agent/upstream/response.go
+++ b/internal/agent/upstream/response.go
@@ -66,6 +66,7 @@
 		failed := Result{Status: brokenStatus(err), Reason: conn.describeFailure(err)}
 		return exchangeResult{Result: failed}
 	}
+	conn.moveReserved(body)
 	result := servedResult(resp, body)
 	result.reusable = conn.reusableAfter(resp)
 	return result
@@ -111,6 +112,7 @@
 	onEnd(true)
 	body.Length = int64(len(part.Bytes))
 	body.Stream = nil
+	conn.moveReserved(body)
 	result := servedResult(resp, body)
 	result.reusable = conn.reusableAfter(resp)
 	return result
--- a/internal/agent/upstream/response_head.go
+++ b/internal/agent/upstream/response_head.go
@@ -33,7 +33,7 @@
 var errNoMemory = errors.New("no memory left for the response")
 
 // readHead reads the head of the final response and skips interim ones. What a long head needs is reserved of the
-// budget until the connection is released.
+// budget until the connection is released, or until the response is if moveReserved was called.
 func (c *serverConn) readHead(method string, budget message.Quota) (*http.Response, error) {
 	for range maxInterimResponses {
 		if err := c.checkHead(budget); err != nil {
@@ -112,6 +112,13 @@
 	return nil
 }
 
+// moveReserved makes the owner of a response body release what its long head has reserved. The head is held as long as
+// the body, and the connection may carry other messages by then.
+func (c *serverConn) moveReserved(body *message.ResponseBody) {
+	body.Reserved += c.reserved
+	c.reserved = 0
+}
+
 // releaseReserved gives up what a long head has reserved, and the read buffer that it needed. It is called when the
 // response has been read.
 func (c *serverConn) releaseReserved() {
--- a/internal/agent/upstream/response_head_test.go
+++ b/internal/agent/upstream/response_head_test.go
@@ -3,13 +3,17 @@
 import (
 	"bufio"
 	"errors"
+	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
 	"testing/iotest"
 
+	"fernbeam.example/fernbeam/internal/agent/agenttest"
 	"fernbeam.example/fernbeam/internal/agent/message"
+	"fernbeam.example/fernbeam/internal/balancer"
 )
 
 const (
@@ -49,3 +53,29 @@
 		}
 	}
 }
+
+// The budget counts a long head for as long as its response is held, also after its connection is idle again.
+func TestLongResponseHeadCountsUntilTheResponseIsReleased(t *testing.T) {
+	head := "HTTP/1.1 200 OK\r\nX-Long: " + strings.Repeat("h", 2*readBufferSize) + "\r\n"
+	for name, text := range map[string]string{
+		"length": head + "Content-Length: 4\r\n\r\ndone",
+		"chunks": head + "Transfer-Encoding: chunked\r\n\r\n4\r\ndone\r\n0\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			server := agenttest.NewServer(t, func(conn net.Conn, _ *http.Request, _ int) bool {
+				_, _ = fmt.Fprint(conn, text) // a failure shows in the attempt
+				return true
+			})
+			pool := newTestPool(agenttest.Timeout, 1)
+			result := attemptNow(t.Context(), pool, readyTarget(server.Addr), orderRequest(server.Addr, nil))
+			wantStatus(t, "attempt", result, balancer.StatusOK)
+			if pool.budget.TryAcquire(pool.budget.Size - int64(2*readBufferSize)) {
+				t.Error("the budget does not count the head of a response that is still held")
+			}
+			result.Body.Release()
+			if !pool.budget.TryAcquire(pool.budget.Size) {
+				t.Errorf("%v of the budget in use after the release", pool.budget)
+			}
+		})
+	}
+}
