Send no request again whose client left while it was at a server and whose id comes again

Callers: a non-idempotent request executed twice when its client left while it was at a server and its id came again on another connection, at the same process or at the other one of an upgrade. Cause: nothing remembered a request once its client had left.

A request whose client failed to send it counts as not executed, so that its id stays free. The counter is repeatedIDs. Not covered: a client that leaves after its response was written and did not read it.

--- a/internal/agent/dispatch/attempt.go
+++ b/internal/agent/dispatch/attempt.go
@@ -145,8 +145,10 @@
 	ended.server.inFlight--
 	l.metrics.Attempts[result.Status]++
 	r.inFlight--
-	if result.Status.NotExecuted() {
+	// After a client's error no server has received the whole request.
+	if result.Status.NotExecuted() || result.ClientErr != nil {
 		r.mayHaveExecuted--
+		l.forgetUnexecuted(r)
 	}
 	r.badRequest = result.Status == balancer.StatusBadRequest
 	r.timedOut = result.Status == balancer.StatusTimeout
--- a/internal/agent/dispatch/loop.go
+++ b/internal/agent/dispatch/loop.go
@@ -5,6 +5,7 @@
 package dispatch
 
 import (
+	"cmp"
 	"context"
 	"log/slog"
 	"sync/atomic"
@@ -13,6 +14,7 @@
 	"fernbeam.example/fernbeam/internal/agent/config"
 	"fernbeam.example/fernbeam/internal/agent/discovery"
 	"fernbeam.example/fernbeam/internal/agent/message"
+	"fernbeam.example/fernbeam/internal/agent/requestids"
 	"fernbeam.example/fernbeam/internal/agent/upstream"
 	"fernbeam.example/fernbeam/internal/balancer"
 	"fernbeam.example/fernbeam/internal/clock"
@@ -39,6 +41,7 @@
 	inbox     chan func()
 
 	requests      *requestTable
+	abandonedIDs  *requestids.Table
 	pendingEvents []balancer.Event  // raised while actions were performed
 	actions       []balancer.Action // reused buffer
 
@@ -76,6 +79,9 @@
 	// ApplySettings is called with settings from the discovery service. It may be nil if the configuration does not
 	// request such settings.
 	ApplySettings discovery.ApplySettings
+	// AbandonedIDs has the ids of requests that may have executed and whose clients have left. If it is nil, the loop has
+	// a table of its own.
+	AbandonedIDs *requestids.Table
 }
 
 // New returns a Loop that ends when ctx is done. It returns an error if the policy does not accept the settings.
@@ -95,6 +101,7 @@
 		clock:          eventTime,
 		inbox:          make(chan func(), inboxSize),
 		requests:       newRequestTable(),
+		abandonedIDs:   cmp.Or(options.AbandonedIDs, requestids.New()),
 		startTimes:     newStartTimeTable(eventTime),
 		onServersReady: options.OnServersReady,
 		logger:         newAsyncLogger(cfg.Logger()),
--- a/internal/agent/dispatch/metrics.go
+++ b/internal/agent/dispatch/metrics.go
@@ -20,6 +20,9 @@
 	Served, ServedLate, Rejected, Failed, ClientsGone int
 	// Invalid counts the requests that did not conform to the protocol.
 	Invalid int
+	// RepeatedIDs counts the requests that failed because an earlier one with the same id may have executed and was
+	// abandoned by its client.
+	RepeatedIDs int
 	// Backstops counts the requests for which the policy had returned no response just before their deadline.
 	Backstops int
 	// Violations counts the actions of the policy that violated the rules of a request.
@@ -47,10 +50,12 @@
 func (m Metrics) String() string {
 	return fmt.Sprintf("{requests:%d served:%d servedLate:%d rejected:%d failed:%d clientsGone:%d invalid:%d"+
 		" backstops:%d violations:%d aborted:%d attempts:%v healthChecks:%v lists:%d endpoints:%d listFailures:%d"+
-		" settings:%d settingsRejected:%d acceptFailures:%d unlogged:%d listIn:%d listOut:%d listCalls:%d}",
+		" settings:%d settingsRejected:%d acceptFailures:%d unlogged:%d listIn:%d listOut:%d listCalls:%d"+
+		" repeatedIDs:%d}",
 		m.Requests, m.Served, m.ServedLate, m.Rejected, m.Failed, m.ClientsGone, m.Invalid,
 		m.Backstops, m.Violations, m.Aborted, m.Attempts, m.HealthChecks, m.Lists, m.Endpoints, m.ListFailures,
-		m.Settings, m.SettingsRejected, m.AcceptFailures, m.Unlogged, m.ListIn, m.ListOut, m.ListCalls)
+		m.Settings, m.SettingsRejected, m.AcceptFailures, m.Unlogged, m.ListIn, m.ListOut, m.ListCalls,
+		m.RepeatedIDs)
 }
 
 func newMetrics() Metrics {
--- a/internal/agent/dispatch/metrics_test.go
+++ b/internal/agent/dispatch/metrics_test.go
@@ -31,10 +31,12 @@
 		ListIn:           20,
 		ListOut:          21,
 		ListCalls:        22,
+		RepeatedIDs:      23,
 	}
 	const want = "{requests:1 served:2 servedLate:3 rejected:4 failed:5 clientsGone:6 invalid:7 backstops:8 violations:9" +
 		" aborted:10 attempts:map[100:11] healthChecks:map[303:12] lists:13 endpoints:14 listFailures:15" +
-		" settings:16 settingsRejected:17 acceptFailures:18 unlogged:19 listIn:20 listOut:21 listCalls:22}"
+		" settings:16 settingsRejected:17 acceptFailures:18 unlogged:19 listIn:20 listOut:21 listCalls:22" +
+		" repeatedIDs:23}"
 	if got := metrics.String(); got != want {
 		t.Errorf("metrics\n%s\nwant\n%s", got, want)
 	}
--- a/internal/agent/dispatch/request.go
+++ b/internal/agent/dispatch/request.go
@@ -31,6 +31,7 @@
 	firstSentAt     time.Time // when the first of those started
 	badRequest      bool      // the server of the last attempt found the request invalid
 	timedOut        bool      // the last attempt got no response in its time
+	abandoned       bool      // its id is remembered in Loop.abandonedIDs
 	backstop        *time.Timer
 }
 
@@ -68,11 +69,15 @@
 	r := l.requests.open(incoming)
 	maxOpen := l.cfg.Settings.Limits.MaxOpenRequests
 	tooMany := maxOpen > 0 && l.requests.openCount > maxOpen
+	if l.wasAbandoned(incoming) {
+		l.failRepeated(r)
+		return
+	}
 	if time.Until(r.backstopTime()) <= 0 || tooMany {
 		l.reject(r, l.cfg.Settings.Limits.MaxRetryAfterMs)
 		return
 	}
-	l.requests.byID[r.id] = r
+	l.requests.add(r)
 	r.backstop = time.AfterFunc(time.Until(r.backstopTime()), func() {
 		l.Post(func() { l.backstopExpired(r) })
 	})
@@ -171,6 +176,7 @@
 func (l *Loop) closeAbandoned(r *request) {
 	l.metrics.ClientsGone++
 	l.logRequest(r, "abandoned by its client")
+	l.rememberAbandoned(r)
 	l.closeRequest(r)
 }
 
@@ -224,10 +230,7 @@
 
 // closeRequest marks a request as closed and removes it from the table if no attempt is in flight.
 func (l *Loop) closeRequest(r *request) {
-	if !r.closed {
-		r.closed = true
-		l.requests.openCount--
-	}
+	l.requests.close(r)
 	if r.backstop != nil {
 		r.backstop.Stop()
 	}
--- a/internal/agent/listeners.go
+++ b/internal/agent/listeners.go
@@ -1,8 +1,11 @@
 package agent
 
 import (
+	"log/slog"
 	"net"
 	"sync"
+
+	"fernbeam.example/fernbeam/internal/agent/requestids"
 )
 
 // Listeners holds the listeners of an agent.
@@ -14,10 +17,26 @@
 	Shared bool
 	// LockPath is the path of the file that processes which share Clients lock in order to detect each other.
 	LockPath string
+	// AbandonedIDsPath is the path of the file in which those processes keep the ids of abandoned requests.
+	AbandonedIDsPath string
 	// Admin accepts the connections to the admin endpoint; nil if there is no admin endpoint.
 	Admin net.Listener
 }
 
+// openAbandonedIDs returns the table of the ids of abandoned requests that processes which share Clients share too. It is
+// nil if there is none.
+func (l *Listeners) openAbandonedIDs(log *slog.Logger) *requestids.Table {
+	if !l.Shared {
+		return nil
+	}
+	table, err := requestids.Open(l.AbandonedIDsPath)
+	if err != nil {
+		log.Warn("ids of abandoned requests are not shared", "err", err)
+		return nil
+	}
+	return table
+}
+
 // unusedListener is a listener that accepts no connections.
 type unusedListener struct {
 	closed chan struct{}
