Hold a request whose id is in flight at the other process of an upgrade

The soak has upgrades on a shared listener now, requests that are sent again with their ids when a close crosses them, and clients that leave and come again at once.

The file that both processes share has the ids in flight too. A request whose id is in flight at the other process waits for 50 ms, or a quarter of its time, and is then looked up.

--- a/cmd/agent/main.go
+++ b/cmd/agent/main.go
@@ -26,8 +26,9 @@
 	// lockFileName is the name of the file by which processes that share a listener detect each other. The name must
 	// not change, since the processes may run different versions.
 	lockFileName = "ringtrack.lock"
-	// abandonedIDsFileName is the name of the file in which those processes keep the ids of abandoned requests.
-	abandonedIDsFileName = "abandoned-request-ids"
+	// clientIDsFileName is the name of the file in which those processes keep the ids of requests that must not execute
+	// twice. It must not change either.
+	clientIDsFileName = "request-ids"
 	// gcPercent makes garbage collections rare, since the heap is small and the agent shares its cores.
 	gcPercent = 400
 )
@@ -87,7 +88,7 @@
 	if fd != "" {
 		ln.Shared = true
 		ln.LockPath = filepath.Join(os.TempDir(), lockFileName)
-		ln.AbandonedIDsPath = filepath.Join(os.TempDir(), abandonedIDsFileName)
+		ln.ClientIDsPath = filepath.Join(os.TempDir(), clientIDsFileName)
 		ln.Clients, err = inheritListener(fd)
 	} else {
 		ln.Clients, err = listenTCP(cfg.Listen)
--- a/internal/agent/abandoned_id_test.go
+++ b/internal/agent/abandoned_id_test.go
@@ -63,6 +63,9 @@
 	if err := client.Close(); err != nil {
 		t.Fatal(err)
 	}
+	agenttest.WaitUntil(t, "the close is noticed", func() bool {
+		return scenario.agent.metricsNow().ClientsGone == 1
+	})
 	scenario.proceed()
 	again := scenario.agent.dial()
 	send(again, orderWithID("queued"))
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -93,7 +93,7 @@
 	}
 	loopCtx, stopLoop := context.WithCancel(context.Background())
 	loop, err := dispatch.New(loopCtx, cfg, dispatch.Options{
-		AbandonedIDs:   listeners.openAbandonedIDs(cfg.Logger()),
+		ClientIDs:      listeners.openClientIDs(cfg.Logger()),
 		Pool:           a.pool,
 		OnServersReady: sync.OnceFunc(func() { close(a.serversReady) }),
 		ApplySettings:  a.applySettings,
--- a/internal/agent/dispatch/abandoned.go
+++ b/internal/agent/dispatch/abandoned.go
@@ -11,6 +11,29 @@
 // client that comes again with the same id, over another connection or to another process of this agent, gets a failure
 // and not a second execution.
 
+// A request whose id is in flight at another process of this agent waits for noticeTime, but no longer than its timeout
+// divided by noticeTimeoutDivisor. By then that process has noticed if the client has left it.
+const (
+	noticeTime           = 50 * time.Millisecond
+	noticeTimeoutDivisor = 4
+)
+
+// awaitOtherProcess reports whether a request has to wait because its id is in flight at another process. The request is
+// then started later.
+func (l *Loop) awaitOtherProcess(incoming *message.Request) bool {
+	isHere := l.requests.byClientID[incoming.ID] != nil
+	if incoming.AwaitedOther || isHere || safeToRetryAnywhere(incoming.Rules) ||
+		!l.clientIDs.IsInFlight(incoming.ID, time.Now()) {
+		return false
+	}
+	incoming.AwaitedOther = true
+	wait := min(noticeTime, incoming.Timeout/noticeTimeoutDivisor)
+	time.AfterFunc(wait, func() {
+		l.Post(func() { l.startRequest(incoming) })
+	})
+	return true
+}
+
 // wasAbandoned reports whether an earlier request with the id of this one may have executed and was abandoned by its
 // client.
 func (l *Loop) wasAbandoned(incoming *message.Request) bool {
@@ -20,7 +43,7 @@
 	if earlier := l.requests.byClientID[incoming.ID]; earlier != nil && hasClientLeft(earlier.incoming) {
 		l.handleClientGone(earlier) // the downstream server's notification has not arrived yet
 	}
-	return l.abandonedIDs.Contains(incoming.ID, time.Now())
+	return l.clientIDs.IsAbandoned(incoming.ID, time.Now())
 }
 
 // hasClientLeft reports whether the client of a request has closed its connection.
@@ -42,7 +65,7 @@
 func (l *Loop) rememberAbandoned(r *request) {
 	if r.mayHaveExecuted > 0 && !safeToRetryAnywhere(r.incoming.Rules) {
 		r.abandoned = true
-		l.abandonedIDs.Add(r.incoming.ID, time.Now())
+		l.clientIDs.Abandon(r.incoming.ID, time.Now())
 	}
 }
 
@@ -50,6 +73,6 @@
 func (l *Loop) forgetUnexecuted(r *request) {
 	if r.abandoned && r.mayHaveExecuted == 0 {
 		r.abandoned = false
-		l.abandonedIDs.Remove(r.incoming.ID)
+		l.clientIDs.Forget(r.incoming.ID)
 	}
 }
--- a/internal/agent/dispatch/loop.go
+++ b/internal/agent/dispatch/loop.go
@@ -41,7 +41,7 @@
 	inbox     chan func()
 
 	requests      *requestTable
-	abandonedIDs  *requestids.Table
+	clientIDs     *requestids.Registry
 	pendingEvents []balancer.Event  // raised while actions were performed
 	actions       []balancer.Action // reused buffer
 
@@ -79,9 +79,8 @@
 	// ApplySettings is called with settings from the discovery service. It may be nil if the configuration does not
 	// request such settings.
 	ApplySettings discovery.ApplySettings
-	// AbandonedIDs has the ids of requests that may have executed and whose clients have left. If it is nil, the loop has
-	// a table of its own.
-	AbandonedIDs *requestids.Table
+	// ClientIDs has the ids of requests that must not execute twice. If it is nil, the loop has a registry of its own.
+	ClientIDs *requestids.Registry
 }
 
 // New returns a Loop that ends when ctx is done. It returns an error if the policy does not accept the settings.
@@ -92,6 +91,7 @@
 		return nil, err
 	}
 	eventTime := newEventClock(cfg.SystemClock())
+	clientIDs := cmp.Or(options.ClientIDs, requestids.New())
 	l := &Loop{
 		cfg:            cfg,
 		ctx:            ctx,
@@ -100,8 +100,8 @@
 		pool:           options.Pool,
 		clock:          eventTime,
 		inbox:          make(chan func(), inboxSize),
-		requests:       newRequestTable(),
-		abandonedIDs:   cmp.Or(options.AbandonedIDs, requestids.New()),
+		requests:       newRequestTable(clientIDs),
+		clientIDs:      clientIDs,
 		startTimes:     newStartTimeTable(eventTime),
 		onServersReady: options.OnServersReady,
 		logger:         newAsyncLogger(cfg.Logger()),
--- a/internal/agent/dispatch/request.go
+++ b/internal/agent/dispatch/request.go
@@ -31,7 +31,7 @@
 	firstSentAt     time.Time // when the first of those started
 	badRequest      bool      // the server of the last attempt found the request invalid
 	timedOut        bool      // the last attempt got no response in its time
-	abandoned       bool      // its id is remembered in Loop.abandonedIDs
+	abandoned       bool      // its id is remembered in Loop.clientIDs
 	backstop        *time.Timer
 }
 
@@ -65,6 +65,9 @@
 // startRequest passes a request to the policy. It rejects the request instead if no time is left or if the limit of
 // open requests is exceeded. The simulator also applies that limit: there, such requests never reach the agent.
 func (l *Loop) startRequest(incoming *message.Request) {
+	if l.awaitOtherProcess(incoming) {
+		return
+	}
 	l.metrics.Requests++
 	r := l.requests.open(incoming)
 	maxOpen := l.cfg.Settings.Limits.MaxOpenRequests
@@ -205,6 +208,9 @@
 		return
 	}
 	l.countResponse(r, response.Kind)
+	if hasClientLeft(r.incoming) {
+		l.rememberAbandoned(r) // the response can't reach the client
+	}
 	r.incoming.Response <- response
 	l.closeRequest(r)
 }
--- a/internal/agent/dispatch/request_table.go
+++ b/internal/agent/dispatch/request_table.go
@@ -1,7 +1,10 @@
 package dispatch
 
 import (
+	"time"
+
 	"fernbeam.example/fernbeam/internal/agent/message"
+	"fernbeam.example/fernbeam/internal/agent/requestids"
 	"fernbeam.example/fernbeam/internal/balancer"
 )
 
@@ -11,11 +14,16 @@
 	byID   map[balancer.RequestID]*request
 	// byClientID has the open requests that must not execute twice, by the ids that their clients gave them.
 	byClientID map[string]*request
-	openCount  int // requests that are not closed, including those not in byID yet
+	clientIDs  *requestids.Registry // has the ids of byClientID too, for other processes
+	openCount  int                  // requests that are not closed, including those not in byID yet
 }
 
-func newRequestTable() *requestTable {
-	return &requestTable{byID: map[balancer.RequestID]*request{}, byClientID: map[string]*request{}}
+func newRequestTable(clientIDs *requestids.Registry) *requestTable {
+	return &requestTable{
+		byID:       map[balancer.RequestID]*request{},
+		byClientID: map[string]*request{},
+		clientIDs:  clientIDs,
+	}
 }
 
 // open assigns an id to a client's request and counts it, without adding it to byID.
@@ -31,6 +39,7 @@
 	t.byID[r.id] = r
 	if !safeToRetryAnywhere(r.incoming.Rules) {
 		t.byClientID[r.incoming.ID] = r
+		t.clientIDs.Begin(r.incoming.ID, time.Now())
 	}
 }
 
@@ -43,6 +52,7 @@
 	t.openCount--
 	if t.byClientID[r.incoming.ID] == r {
 		delete(t.byClientID, r.incoming.ID)
+		t.clientIDs.End(r.incoming.ID)
 	}
 }
 
--- a/internal/agent/listeners.go
+++ b/internal/agent/listeners.go
@@ -17,24 +17,24 @@
 	Shared bool
 	// LockPath is the path of the file that processes which share Clients lock in order to detect each other.
 	LockPath string
-	// AbandonedIDsPath is the path of the file in which those processes keep the ids of abandoned requests.
-	AbandonedIDsPath string
+	// ClientIDsPath is the path of the file in which those processes keep the ids of requests that must not execute twice.
+	ClientIDsPath string
 	// Admin accepts the connections to the admin endpoint; nil if there is no admin endpoint.
 	Admin net.Listener
 }
 
-// openAbandonedIDs returns the table of the ids of abandoned requests that processes which share Clients share too. It is
-// nil if there is none.
-func (l *Listeners) openAbandonedIDs(log *slog.Logger) *requestids.Table {
+// openClientIDs returns the registry of request ids that processes which share Clients share too. It is nil if there is
+// none.
+func (l *Listeners) openClientIDs(log *slog.Logger) *requestids.Registry {
 	if !l.Shared {
 		return nil
 	}
-	table, err := requestids.Open(l.AbandonedIDsPath)
+	ids, err := requestids.Open(l.ClientIDsPath)
 	if err != nil {
-		log.Warn("ids of abandoned requests are not shared", "err", err)
+		log.Warn("request ids are not shared with other processes", "err", err)
 		return nil
 	}
-	return table
+	return ids
 }
 
 // unusedListener is a listener that accepts no connections.
--- a/internal/agent/message/message.go
+++ b/internal/agent/message/message.go
@@ -32,6 +32,7 @@
 	Deadline     time.Time
 	Response     chan Response      // has capacity 1, so that the dispatcher never waits for a client
 	DispatchID   balancer.RequestID // set and used by the dispatcher
+	AwaitedOther bool               // set by the dispatcher once it has waited for another process
 }
 
 // ResponseKind is the outcome of a request.
