Name the file of repeated ids after them, and mend what the linter found

contextcheck reports four chains of calls of the event loop or none, depending on which file of the package comes first; the same code in repeated_ids.go has no finding.

--- a/cmd/agent/abandoned_id_test.go
+++ b/cmd/agent/abandoned_id_test.go
@@ -47,7 +47,7 @@
 func TestIDOfAnAbandonedRequestExecutesOnceInAnUpgrade(t *testing.T) {
 	var executed atomic.Int64
 	release := make(chan struct{})
-	server := startServer(t, func(w http.ResponseWriter, r *http.Request) {
+	server := startServer(t, func(w http.ResponseWriter, _ *http.Request) {
 		if executed.Add(1) == 1 {
 			<-release
 		}
--- a/cmd/agent/soak_client_test.go
+++ b/cmd/agent/soak_client_test.go
@@ -84,8 +84,8 @@
 	return false
 }
 
-// checkSure records a request for which a process was killed since it was first sent. If it is sent again, no process may
-// know that it has executed.
+// checkSure records a request for which a process was killed since it was first sent. If it is sent again, no process
+// may know that it has executed.
 func (s *soak) checkSure(request *soakRequest) {
 	if s.restarts.Load() == request.restarts {
 		return
--- a/cmd/agent/soak_test.go
+++ b/cmd/agent/soak_test.go
@@ -30,7 +30,8 @@
 	earlyKill = 300 * time.Millisecond
 	// soakConnectTime is how long a client tries to connect.
 	soakConnectTime = 200 * time.Millisecond
-	// leavingStep is the number of requests of a client after each of which it leaves one without waiting for its response.
+	// leavingStep is the number of requests of a client after each of which it leaves one without waiting for its
+	// response.
 	leavingStep = 7
 	// maxSharedRun is the longest time for which two processes of an upgrade run before the first is told to end.
 	maxSharedRun = time.Second
@@ -189,7 +190,8 @@
 	before.signal(t, syscall.SIGTERM)
 	limit := int64(s.config.Limits.MemoryMB) * bytesPerMB
 	if peak := peakTogether(before, after, earliestKill); peak > limit {
-		t.Errorf("%.1f MB of memory of both processes, the limit is %d MB", float64(peak)/bytesPerMB, s.config.Limits.MemoryMB)
+		t.Errorf("%.1f MB of memory of both processes, the limit is %d MB",
+			float64(peak)/bytesPerMB, s.config.Limits.MemoryMB)
 	}
 	s.kill(t, before, true)
 	return after
--- a/internal/agent/dispatch/abandoned.go
+++ b/internal/agent/dispatch/repeated_ids.go
@@ -18,8 +18,8 @@
 	noticeTimeoutDivisor = 4
 )
 
-// awaitOtherProcess reports whether a request has to wait because its id is in flight at another process. The request is
-// then started later.
+// awaitOtherProcess reports whether a request has to wait because its id is in flight at another process. The request
+// is then started later.
 func (l *Loop) awaitOtherProcess(incoming *message.Request) bool {
 	isHere := l.requests.byClientID[incoming.ID] != nil
 	if incoming.AwaitedOther || isHere || safeToRetryAnywhere(incoming.Rules) ||
@@ -54,7 +54,8 @@
 	return incoming.ClientGone != nil && incoming.ClientGone()
 }
 
-// failRepeated sends a failure for a request for which wasAbandoned is true. A rejection would say that a retry is safe.
+// failRepeated sends a failure for a request for which wasAbandoned is true. A rejection would say that a retry is
+// safe.
 func (l *Loop) failRepeated(r *request) {
 	l.metrics.RepeatedIDs++
 	l.logger.logLimited(slog.LevelWarn, "id of an abandoned request came again", "id", r.incoming.ID)
--- a/internal/agent/downstream/head_test.go
+++ b/internal/agent/downstream/head_test.go
@@ -37,11 +37,13 @@
 		"Content-Length: +12\r\n":  {fields: 1, hasUnknownBody: true},
 		"Content-Length: -1\r\n":   {fields: 1, hasUnknownBody: true},
 		"Content-Length: 1, 1\r\n": {fields: 1, hasUnknownBody: true},
-		"Content-Length: 1\r\nContent-Length: 1\r\n":           {fields: 2, bodySize: 1, hasUnknownBody: true},
-		"Transfer-Encoding: chunked\r\n":                       {fields: 1, hasUnknownBody: true, isChunked: true},
-		"Content-Length: 3\r\nTransfer-Encoding: chunked\r\n":  {fields: 2, bodySize: 3, hasUnknownBody: true, isChunked: true},
-		"A: 1\r\n Content-Length: 3\r\n":                       {fields: 2, hasUnknownBody: true},
-		"No colon\r\n":                                         {fields: 1, hasUnknownBody: true},
+		"Content-Length: 1\r\nContent-Length: 1\r\n": {fields: 2, bodySize: 1, hasUnknownBody: true},
+		"Transfer-Encoding: chunked\r\n":             {fields: 1, hasUnknownBody: true, isChunked: true},
+		"Content-Length: 3\r\nTransfer-Encoding: chunked\r\n": {
+			fields: 2, bodySize: 3, hasUnknownBody: true, isChunked: true,
+		},
+		"A: 1\r\n Content-Length: 3\r\n": {fields: 2, hasUnknownBody: true},
+		"No colon\r\n":                   {fields: 1, hasUnknownBody: true},
 		strings.Repeat("a:\r\n", 50) + "Content-Length: 1\r\n": {fields: 51, bodySize: 1},
 	} {
 		text := "POST / HTTP/1.1\r\n" + fields + "\r\n"
--- a/internal/agent/downstream/trailer_filter.go
+++ b/internal/agent/downstream/trailer_filter.go
@@ -33,8 +33,9 @@
 	chunksDone                            // behind the body
 )
 
-// trailerFilter removes the fields of the trailer from a body in the chunked encoding, as it arrives. They are not passed
-// on, and the HTTP server would keep them parsed, at many times their size. The zero value is at the begin of a body.
+// trailerFilter removes the fields of the trailer from a body in the chunked encoding, as it arrives. They are not
+// passed on, and the HTTP server would keep them parsed, at many times their size. The zero value is at the begin of a
+// body.
 //
 // It is never stricter than the HTTP server, so that a body that it lets pass has no other framing for the server.
 type trailerFilter struct {
--- a/internal/agent/requestids/requestids.go
+++ b/internal/agent/requestids/requestids.go
@@ -28,8 +28,8 @@
 	timeMask = 1<<timeBits - 1
 )
 
-// Registry has the ids of an agent's requests that must not execute twice. Its methods are safe for concurrent use, also by
-// several processes.
+// Registry has the ids of an agent's requests that must not execute twice. Its methods are safe for concurrent use,
+// also by several processes.
 type Registry struct {
 	abandoned table
 	inFlight  table // empty unless processes share the registry
@@ -41,7 +41,8 @@
 // sharedBytes is the size of the file of a registry, which has the slots of both tables.
 const sharedBytes = 2 * slotCount * slotBytes
 
-// Open returns the registry in the file at path, which all processes that open it share. It creates the file if necessary.
+// Open returns the registry in the file at path, which all processes that open it share. It creates the file if
+// necessary.
 func Open(path string) (*Registry, error) {
 	file, err := os.OpenFile(path, os.O_CREATE|os.O_RDWR, 0o600)
 	if err != nil {
@@ -88,8 +89,8 @@
 // IsAbandoned reports whether an id was abandoned within its lifetime.
 func (r *Registry) IsAbandoned(id string, now time.Time) bool { return r.abandoned.contains(id, now) }
 
-// table is a set of ids of a fixed size, which forgets ids after some time. Its slots are accessed atomically; those that
-// are 0 are empty.
+// table is a set of ids of a fixed size, which forgets ids after some time. Its slots are accessed atomically; those
+// that are 0 are empty.
 type table []uint64
 
 // add remembers an id from now on.
--- a/internal/agent/upstream/response_head_test.go
+++ b/internal/agent/upstream/response_head_test.go
@@ -24,7 +24,7 @@
 // readChunkedResponse reads a response from a server that sends the given text, in pieces of one byte.
 func readChunkedResponse(text string) (resp *http.Response, body string, err error) {
 	conn := &serverConn{reader: bufio.NewReaderSize(iotest.OneByteReader(strings.NewReader(text)), readBufferSize)}
-	resp, err = conn.readHead(http.MethodGet, message.NewQuota(0)) //nolint:bodyclose // the body has nothing to close
+	resp, err = conn.readHead(http.MethodGet, message.NewQuota(0))
 	if err != nil {
 		return nil, "", err
 	}
@@ -44,6 +44,7 @@
 		"a: 1\r\n":                          io.ErrUnexpectedEOF,
 		"a: " + strings.Repeat("x", 2*4096): bufio.ErrBufferFull,
 	} {
+		//nolint:bodyclose // the body has no resources of its own
 		resp, body, err := readChunkedResponse(chunkedHead + twoChunks + trailer)
 		if !errors.Is(err, want) || body != "done!" {
 			t.Errorf("trailer of %d bytes: body %q, error %v, want %v", len(trailer), body, err, want)
