Limit the header fields of calls to the admin endpoint, which no budget counted

24 calls with 11 KB of short fields each are parsed at some 73 KB per 4 KB, several times what the base of the memory counts for the endpoint. A head of more than 100 lines is no longer read to its end and gets 400.

--- a/cmd/agent/crowd_test.go
+++ b/cmd/agent/crowd_test.go
@@ -318,6 +318,19 @@
 	pause(ctx, crowdTime)
 }
 
+// callWithShortFields makes a call of the admin endpoint with very many short header fields or, every other caller,
+// trailer fields.
+func callWithShortFields(ctx context.Context, conn net.Conn, index int) {
+	head := "PUT /ops/drain/stop HTTP/1.1\r\nHost: x\r\n"
+	text := head + "Content-Length: 0\r\n" + shortFields(shortFieldsSize*2/3) + "\r\n"
+	if index%2 == 0 {
+		text = head + "Transfer-Encoding: chunked\r\n\r\n0\r\n" + shortFields(shortTrailerSize) + "\r\n"
+	}
+	if _, err := io.WriteString(conn, text); err == nil {
+		awaitClose(ctx, conn, index)
+	}
+}
+
 // awaitClose sends nothing more and reads until the agent closes the connection.
 func awaitClose(_ context.Context, conn net.Conn, _ int) { _, _ = io.Copy(io.Discard, conn) }
 
--- a/cmd/agent/memory_test.go
+++ b/cmd/agent/memory_test.go
@@ -133,3 +133,29 @@
 	}
 	return usage
 }
+
+// adminCallers is the number of concurrent callers of the admin endpoint beside a crowd, more than it accepts.
+const adminCallers = 64
+
+// Calls of the admin endpoint with very many short header fields and trailer fields stay within the memory limit
+// beside a crowd of clients.
+func TestAdminCallsBesideACrowdStayWithinTheMemoryLimit(t *testing.T) {
+	forms := crowdForms()
+	run := crowdRun{binary: buildAgent(t), form: forms[len(forms)-1], memoryMB: floodMemoryMB, sockets: crowdSockets}
+	config := run.config(t)
+	config.Management = anyAddress
+	p := newMeasuredProgram(t, run.binary, config)
+	addr, admin := p.startListening(t)
+	p.collectLog()
+	crowd := startCrowd(t.Context(), addr, run.form, run.form.clients)
+	callers := startCrowd(t.Context(), admin, crowdForm{member: callWithShortFields}, adminCallers)
+	peak := p.peakMemory(t, 2*crowdTime)
+	callers.stop()
+	crowd.stop()
+	p.signal(t, syscall.SIGKILL)
+	p.awaitEnd(t)
+	t.Logf("peak %.1f MB", float64(peak)/bytesPerMB)
+	if peak > floodMemoryMB*bytesPerMB {
+		t.Errorf("memory above the limit of %d MB", floodMemoryMB)
+	}
+}
--- a/internal/agent/admin/server.go
+++ b/internal/agent/admin/server.go
@@ -102,7 +102,7 @@
 // Serve answers operators on ln until Close.
 func (s *Server) Serve(ln net.Listener) error {
 	ln = listener.New(ln, listener.LogFailures(s.log, "admin"))
-	if err := s.server.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
+	if err := s.server.Serve(limitedListener{ln}); !errors.Is(err, http.ErrServerClosed) {
 		return fmt.Errorf("admin: %w", err)
 	}
 	return nil
