Keep a part of the request budget for clients that wait for short responses

Callers: beside a crowd whose requests use up the budget of requests, proper clients got 503 for most of theirs. Cause: at admission a request whose response will be long looks like any other, and hundreds of new connections compete with a few proper ones.

A connection whose last response was short, and whose client waited for that, is no part of such a crowd. Requests on other connections may use three quarters of the budget only. TestProvenClientIsAdmittedBesideNewOnes tests the budget.

--- a/internal/agent/downstream/admission.go
+++ b/internal/agent/downstream/admission.go
@@ -17,6 +17,7 @@
 type admission struct {
 	requests message.Quota // bytes of requests in progress and their heads
 	large    message.Quota // the part of requests that those with long bodies may use
+	unproven message.Quota // the part of requests that those may use whose client is not proven
 	uploads  message.Quota // bytes of streamed request bodies
 	streams  message.Quota // connections to servers on which a body is streamed
 	// retryAfterMs returns the delay that a rejection advises.
@@ -41,6 +42,7 @@
 	return &admission{
 		requests:     message.NewQuota(limits.Requests),
 		large:        message.NewQuota(limits.LargeRequests),
+		unproven:     message.NewQuota(limits.UnprovenRequests),
 		uploads:      message.NewQuota(limits.Uploads),
 		streams:      streams,
 		retryAfterMs: retryAfterMs,
@@ -52,12 +54,13 @@
 	admission *admission
 	request   int64 // bytes of requests
 	large     int64 // bytes of large
+	unproven  int64 // bytes of unproven
 	upload    int64 // bytes of uploads; a stream is reserved with them
 }
 
 // admit reserves memory for a request with the given head. It returns the reservation, or the status of the response if
-// the request is not admitted.
-func (a *admission) admit(head requestHead) (reserved reservation, status int) {
+// the request is not admitted. A client is proven if its connection's last response was short and it waited for that.
+func (a *admission) admit(head requestHead, isProven bool) (reserved reservation, status int) {
 	if head.fields > maxRequestFields || head.size > maxRequestHead {
 		return reservation{}, http.StatusRequestHeaderFieldsTooLarge
 	}
@@ -69,6 +72,13 @@
 		}
 		reserved.large = cost
 	}
+	if !isProven {
+		if !a.unproven.TryAcquire(cost) {
+			reserved.release()
+			return reservation{}, http.StatusServiceUnavailable
+		}
+		reserved.unproven = cost
+	}
 	if !a.requests.TryAcquire(cost) {
 		reserved.release()
 		return reservation{}, http.StatusServiceUnavailable
@@ -117,6 +127,7 @@
 	}
 	a.requests.Release(r.request)
 	a.large.Release(r.large)
+	a.unproven.Release(r.unproven)
 	if r.upload > 0 {
 		a.uploads.Release(r.upload)
 		a.streams.Release(1)
--- a/internal/agent/downstream/framed_conn.go
+++ b/internal/agent/downstream/framed_conn.go
@@ -51,7 +51,9 @@
 	// lastByteAt is when the last byte of the current request arrived, if it arrived while an earlier one was in progress.
 	lastByteAt time.Time
 	reserved   reservation // for the current request
-	inRequest  bool        // a head has been returned, and its response is not complete
+	// servedShort is set while the last response was a short one, which the client's request was served with.
+	servedShort atomic.Bool
+	inRequest   bool // a head has been returned, and its response is not complete
 }
 
 // Read returns bytes of the current request, or waits for the next one.
@@ -205,7 +207,7 @@
 		size := findHeadEnd(c.buffer, c.scanned)
 		if size > 0 {
 			c.pace(waited)
-			return c.begin(size)
+			return c.begin(size, waited)
 		}
 		c.scanned = max(len(c.buffer)-len("\n\r"), 0)
 		if c.discarded {
@@ -243,13 +245,13 @@
 	return http.StatusServiceUnavailable
 }
 
-// begin admits the request whose head is complete in the buffer.
-func (c *framedConn) begin(size int) error {
+// begin admits the request whose head is complete in the buffer. waited tells that the client had to be waited for.
+func (c *framedConn) begin(size int, waited bool) error {
 	head := parseHead(c.buffer[:size])
 	c.bodyLeft, c.opaque = head.bodySize, head.hasUnknownBody
 	c.isChunked, c.trailer = head.isChunked, trailerFilter{}
 	c.lastByteAt = c.arrivals.timeOf(int64(size) + head.bodySize)
-	reserved, status := c.admission.admit(head)
+	reserved, status := c.admission.admit(head, waited && c.servedShort.Load())
 	if status != 0 {
 		c.drop(size)
 		return c.refuse(status)
--- a/internal/agent/downstream/framed_conn_test.go
+++ b/internal/agent/downstream/framed_conn_test.go
@@ -24,7 +24,7 @@
 }
 
 // largeLimits are limits that admit any request.
-var largeLimits = memory.Limits{Requests: 1 << 20, LargeRequests: 1 << 20, Uploads: 1 << 20}
+var largeLimits = memory.Limits{Requests: 1 << 20, LargeRequests: 1 << 20, UnprovenRequests: 1 << 20, Uploads: 1 << 20}
 
 // write sends text at once.
 func write(t *testing.T, client *bufio.ReadWriter, text string) {
@@ -75,7 +75,11 @@
 
 // A head with too many fields, or for which the budget has no space, is answered and never parsed.
 func TestHeadsThatDoNotFitAreRefused(t *testing.T) {
-	small := memory.Limits{Requests: memory.RequestCost - 1, LargeRequests: memory.RequestCost - 1}
+	small := memory.Limits{
+		Requests:         memory.RequestCost - 1,
+		LargeRequests:    memory.RequestCost - 1,
+		UnprovenRequests: memory.RequestCost - 1,
+	}
 	request := agenttest.RequestText(1, maxRequestTimeoutMs)
 	for name, test := range map[string]struct {
 		limits memory.Limits
@@ -119,3 +123,39 @@
 		})
 	}
 }
+
+// A client that waits for short responses is admitted when new clients have used up their part of the budget, and one
+// that sends requests ahead is not.
+func TestProvenClientIsAdmittedBesideNewOnes(t *testing.T) {
+	limits := memory.Limits{Requests: 3 * memory.RequestCost, UnprovenRequests: memory.RequestCost}
+	request := agenttest.RequestText(1, maxRequestTimeoutMs)
+	client, proven := newFramedPair(t, limits)
+	write(t, client, request)
+	readRequestFrom(t, proven)
+	proven.requestDone()
+	proven.servedShort.Store(true)
+	newConn := func() (*bufio.ReadWriter, *framedConn) {
+		other, conn := newFramedPair(t, limits)
+		conn.admission = proven.admission
+		return other, conn
+	}
+	firstClient, first := newConn()
+	write(t, firstClient, request)
+	readRequestFrom(t, first) // uses up the part of new clients
+	refusedClient, refused := newConn()
+	write(t, refusedClient, request)
+	if _, err := refused.Read(make([]byte, readBufferSize)); err == nil {
+		t.Error("a new client is admitted beyond the part of new clients")
+	}
+	write(t, client, request+request)
+	readRequestFrom(t, proven)
+	proven.requestDone()
+	if _, err := proven.Read(make([]byte, readBufferSize)); err == nil {
+		t.Error("a request that was sent ahead is admitted as one of a client that waits")
+	}
+	first.requestDone()
+	budget := proven.admission
+	if !budget.requests.TryAcquire(limits.Requests) || !budget.unproven.TryAcquire(limits.UnprovenRequests) {
+		t.Error("a part of the budget is not released")
+	}
+}
--- a/internal/agent/downstream/response.go
+++ b/internal/agent/downstream/response.go
@@ -69,6 +69,9 @@
 		w.Header().Set("Content-Length", strconv.FormatInt(response.Body.Length, 10))
 	}
 	w.WriteHeader(http.StatusOK)
+	if conn := clientConnOf(request.Context); conn != nil {
+		conn.servedShort.Store(response.Body.Stream == nil)
+	}
 	serverErr, clientErr := response.Body.CopyTo(w)
 	if serverErr != nil || clientErr != nil {
 		s.dispatcher.ResponseAborted(request, serverErr, clientErr)
--- a/internal/agent/downstream/server.go
+++ b/internal/agent/downstream/server.go
@@ -183,7 +183,8 @@
 
 // RequestBudgets returns the quotas of the bytes of requests in progress and of streamed request bodies.
 func (s *Server) RequestBudgets() []message.Quota {
-	return []message.Quota{s.admission.requests, s.admission.large, s.admission.uploads}
+	a := s.admission
+	return []message.Quota{a.requests, a.large, a.unproven, a.uploads}
 }
 
 // Refusals returns the counts of requests that were refused before they reached the dispatcher.
@@ -241,8 +242,11 @@
 }
 
 // connOf returns the connection of a request, or nil if it is not a client connection.
-func connOf(req *http.Request) *framedConn {
-	conn, _ := req.Context().Value(connKey{}).(*framedConn)
+func connOf(req *http.Request) *framedConn { return clientConnOf(req.Context()) }
+
+// clientConnOf is like connOf, for the context of a request.
+func clientConnOf(ctx context.Context) *framedConn {
+	conn, _ := ctx.Value(connKey{}).(*framedConn)
 	return conn
 }
 
--- a/internal/agent/memory/memory.go
+++ b/internal/agent/memory/memory.go
@@ -66,8 +66,9 @@
 	// ClientConns and ServerConns are the greatest numbers of connections.
 	ClientConns, ServerConns int
 	// Requests is the budget of requests in progress and of their heads, in bytes. LargeRequests is the part of it that
-	// requests with long bodies may use.
-	Requests, LargeRequests int64
+	// requests with long bodies may use, and UnprovenRequests the part that requests may use whose clients are not known
+	// to wait for short responses.
+	Requests, LargeRequests, UnprovenRequests int64
 	// RequestBodies and ResponseBodies are the budgets of buffered bodies, in bytes, and Uploads is that of streamed
 	// request bodies.
 	RequestBodies, ResponseBodies, Uploads int64
@@ -90,10 +91,12 @@
 	uploadBudgetShare = 18
 )
 
-// The parts that long messages may use, in percent. The rest is for short ones, so that they are served beside a crowd.
+// The parts that long messages and clients that have not been served yet may use, in percent. The rest is for others, so
+// that they are served beside a crowd.
 const (
-	largeRequestShare = 60
-	streamedShare     = 75
+	largeRequestShare    = 60
+	unprovenRequestShare = 75
+	streamedShare        = 75
 )
 
 // Divide returns the parts of a process with the given memory limit. The other parameters are the greatest numbers of
@@ -114,6 +117,7 @@
 	limits.ResponseBodies = min(rest*responseBodyPart/percent, max(memoryBytes, mebibyte)/requestBodyShare)
 	limits.Uploads = rest * uploadBudgetShare / percent
 	limits.LargeRequests = limits.Requests * largeRequestShare / percent
+	limits.UnprovenRequests = limits.Requests * unprovenRequestShare / percent
 	limits.Streams = min(int64(limits.ServerConns)*streamedShare/percent, limits.LargeRequests/RequestCost)
 	return limits
 }
--- a/internal/agent/memory/memory_test.go
+++ b/internal/agent/memory/memory_test.go
@@ -32,6 +32,9 @@
 				if limits.LargeRequests >= limits.Requests || limits.Streams >= int64(limits.ServerConns) {
 					t.Errorf("%d MB, %d descriptors: long messages may use everything: %+v", memoryMB, sockets, limits)
 				}
+				if limits.UnprovenRequests >= limits.Requests {
+					t.Errorf("%d MB, %d descriptors: new clients may use everything: %+v", memoryMB, sockets, limits)
+				}
 			}
 		}
 	}
