--- a/internal/agent/memory/memory.go
+++ b/internal/agent/memory/memory.go
@@ -91,8 +91,8 @@
 	uploadBudgetShare = 18
 )
 
-// The parts that long messages and clients that have not been served yet may use, in percent. The rest is for others, so
-// that they are served beside a crowd.
+// The parts that long messages and new clients may use, in percent. The rest is for others, so that they are served
+// beside a crowd.
 const (
 	largeRequestShare    = 60
 	unprovenRequestShare = 75
