--- a/internal/agent/downstream/framed_conn.go
+++ b/internal/agent/downstream/framed_conn.go
@@ -2,12 +2,8 @@
 
 import (
 	"errors"
-	"io"
-	"net/http"
 	"sync/atomic"
 	"time"
-
-	"fernbeam.example/fernbeam/internal/agent/message"
 )
 
 const (
@@ -80,23 +76,6 @@
 	return c.Read(p)
 }
 
-// take moves up to limit bytes from the buffer to p.
-func (c *framedConn) take(p []byte, limit int64) int {
-	n := copy(p, c.buffer[:min(limit, int64(len(c.buffer)))])
-	c.drop(n)
-	return n
-}
-
-// drop removes the first n bytes of the buffer.
-func (c *framedConn) drop(n int) {
-	c.buffer = append(c.buffer[:0], c.buffer[n:]...)
-	c.scanned = 0
-	c.arrivals.consume(n)
-	if len(c.buffer) == 0 {
-		c.shrink()
-	}
-}
-
 // readBody reads up to limit bytes of a body.
 func (c *framedConn) readBody(p []byte, limit int64) (int, error) {
 	if len(c.buffer) > 0 {
@@ -122,53 +101,6 @@
 	}
 }
 
-// fill reads more bytes into the buffer. It returns errBufferFull if that can't be made larger.
-func (c *framedConn) fill(limit int) error {
-	if len(c.buffer) == cap(c.buffer) && !c.grow(limit) {
-		return errBufferFull
-	}
-	n, err := c.clientConn.Read(c.buffer[len(c.buffer):cap(c.buffer)])
-	if n > 0 {
-		c.buffer = c.buffer[:len(c.buffer)+n]
-		c.arrivals.add(n, time.Now())
-		return nil
-	}
-	return err
-}
-
-// errBufferFull is returned by fill.
-var errBufferFull = errors.New("no space in the read buffer")
-
-// grow makes the buffer larger, up to limit bytes, if the budget has space.
-func (c *framedConn) grow(limit int) bool {
-	if c.buffer == nil {
-		c.buffer = make([]byte, 0, initialReadBuffer)
-		return true
-	}
-	size := min(2*cap(c.buffer), limit)
-	if size <= cap(c.buffer) || !c.admission.reserveBuffer(int64(size)) {
-		return false
-	}
-	c.buffer = append(make([]byte, 0, size), c.buffer...)
-	c.admission.releaseBuffer(c.grown.Swap(int64(size)))
-	if c.closed.Load() {
-		c.releaseGrown() // a close in the meantime may not have seen it
-		return false
-	}
-	return true
-}
-
-// releaseGrown releases what the buffer has reserved. It may be called from any goroutine.
-func (c *framedConn) releaseGrown() { c.admission.releaseBuffer(c.grown.Swap(0)) }
-
-// shrink gives up a buffer that has grown.
-func (c *framedConn) shrink() {
-	if c.grown.Load() > 0 {
-		c.buffer = nil
-		c.releaseGrown()
-	}
-}
-
 // releaseAll releases what a closed connection has reserved. A read of a body that nobody waits for may still end.
 func (c *framedConn) releaseAll() {
 	c.reserved.release()
@@ -237,14 +169,6 @@
 	}
 }
 
-// headRefusal returns the status for a head for which the buffer has no space.
-func (c *framedConn) headRefusal() int {
-	if len(c.buffer) >= maxRequestHead {
-		return http.StatusRequestHeaderFieldsTooLarge
-	}
-	return http.StatusServiceUnavailable
-}
-
 // begin admits the request whose head is complete in the buffer. waited tells that the client had to be waited for.
 func (c *framedConn) begin(size int, waited bool) error {
 	head := parseHead(c.buffer[:size])
@@ -280,33 +204,3 @@
 	}
 	return now
 }
-
-// refuse answers a request that is not admitted. It then reads on for a while, so that the client can send the rest and
-// read the answer, and ends the connection.
-func (c *framedConn) refuse(status int) error {
-	c.admission.countRefusal(status)
-	if err := c.admission.writeRefusal(c.Conn, status); err != nil {
-		return err
-	}
-	if status == http.StatusServiceUnavailable {
-		c.skip(min(c.bodyLeft-int64(len(c.buffer)), message.MaxRefusedBody), message.BodyGracePeriod)
-	} else {
-		c.skip(maxRequestHead, message.LingerTimeout)
-	}
-	return io.EOF
-}
-
-// skip reads and discards up to size bytes, within a time and while no pause exceeds message.LingerTimeout.
-func (c *framedConn) skip(size int64, timeout time.Duration) {
-	until := time.Now().Add(timeout)
-	var scratch [initialReadBuffer]byte
-	for pace := (message.DiscardPace{}); size > 0 && time.Now().Before(until); {
-		_ = c.SetReadDeadline(time.Now().Add(message.LingerTimeout)) // a failure shows in the read
-		n, err := c.clientConn.Read(scratch[:])
-		if err != nil {
-			return
-		}
-		size -= int64(n)
-		pace.Wait(n)
-	}
-}
--- a/internal/agent/downstream/memory_bench_test.go
+++ b/internal/agent/downstream/memory_bench_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"net"
-	"runtime"
 	"testing"
 	"time"
 
@@ -34,15 +33,6 @@
 	return fd
 }
 
-// liveBytes returns the memory in use after two collections: live objects and stacks.
-func liveBytes() uint64 {
-	runtime.GC()
-	runtime.GC()
-	var stats runtime.MemStats
-	runtime.ReadMemStats(&stats)
-	return stats.HeapAlloc + stats.StackInuse
-}
-
 // BenchmarkClientConnMemory measures what a client connection and a request in progress take, and fails if that is more
 // than the memory budget counts.
 func BenchmarkClientConnMemory(b *testing.B) {
@@ -59,7 +49,7 @@
 			listener := agenttest.Listen(b)
 			startServerWith(b, listener, &silentDispatcher{})
 			for b.Loop() {
-				before := liveBytes()
+				before := agenttest.LiveBytes()
 				for range conns {
 					fd := rawClient(b, listener.Addr().(*net.TCPAddr))
 					if _, err := unix.Write(fd, []byte(state.text)); err != nil {
@@ -67,7 +57,7 @@
 					}
 				}
 				time.Sleep(500 * time.Millisecond) // until all are in their state
-				perConn := (int64(liveBytes()) - int64(before)) / conns
+				perConn := (int64(agenttest.LiveBytes()) - int64(before)) / conns
 				b.ReportMetric(float64(perConn), "bytes/conn")
 				if perConn > state.cost {
 					b.Errorf("a connection that is %s takes %d bytes, and the budget counts %d", state.name, perConn, state.cost)
--- a/internal/agent/downstream/trailer_filter.go
+++ b/internal/agent/downstream/trailer_filter.go
@@ -3,20 +3,18 @@
 import (
 	"bytes"
 	"errors"
+
+	"fernbeam.example/fernbeam/internal/agent/message"
 )
 
 const (
 	// maxChunkDigits is the greatest number of digits of the size of a chunk.
 	maxChunkDigits = 16
-	// maxTrailer is the greatest size of a trailer, in bytes.
-	maxTrailer = 4 << 10
-	hexBase    = 16
+	hexBase        = 16
 )
 
-var (
-	errMalformedChunk = errors.New("malformed chunked encoding")
-	errLongTrailer    = errors.New("trailer is too long")
-)
+// errMalformedChunk is the error of a body that is not in the chunked encoding.
+var errMalformedChunk = errors.New("malformed chunked encoding")
 
 // chunkState is a position in the chunked encoding (RFC 9112, section 7.1).
 type chunkState uint8
@@ -155,8 +153,8 @@
 	f.state = trailerField
 	n = f.skipLine(text, trailerLine)
 	f.removed += n
-	if f.removed > maxTrailer {
-		return n, false, errLongTrailer
+	if f.removed > message.MaxTrailer {
+		return n, false, message.ErrLongTrailer
 	}
 	return n, false, nil
 }
--- a/internal/agent/downstream/trailer_filter_test.go
+++ b/internal/agent/downstream/trailer_filter_test.go
@@ -10,6 +10,8 @@
 	"testing/iotest"
 
 	"pgregory.net/rapid"
+
+	"fernbeam.example/fernbeam/internal/agent/message"
 )
 
 const (
@@ -100,9 +102,9 @@
 			t.Fatalf("body %q with the error %v, want %q", got, err, want)
 		}
 	})
-	endless := strings.NewReader("0\r\n" + strings.Repeat("a:\r\n", maxTrailer))
-	if _, err := io.Copy(io.Discard, &filterReader{source: endless}); !errors.Is(err, errLongTrailer) {
-		t.Errorf("error %v, want %v", err, errLongTrailer)
+	endless := strings.NewReader("0\r\n" + strings.Repeat("a:\r\n", message.MaxTrailer))
+	if _, err := io.Copy(io.Discard, &filterReader{source: endless}); !errors.Is(err, message.ErrLongTrailer) {
+		t.Errorf("error %v, want %v", err, message.ErrLongTrailer)
 	}
 }
 
--- a/internal/agent/upstream/chunked_body.go
+++ b/internal/agent/upstream/chunked_body.go
@@ -6,12 +6,9 @@
 	"io"
 	"net/http"
 	"net/http/httputil"
-)
-
-// maxTrailer is the greatest size of a trailer, in bytes.
-const maxTrailer = 4 << 10
 
-var errLongTrailer = errors.New("trailer is too long")
+	"fernbeam.example/fernbeam/internal/agent/message"
+)
 
 // chunkedBody is a response body in the chunked encoding. It drops the fields of the trailer, which are not passed on;
 // net/http would keep them parsed, at many times their size.
@@ -46,7 +43,7 @@
 
 // skipTrailer reads to the end of the trailer, and then returns io.EOF.
 func (b *chunkedBody) skipTrailer() error {
-	for size := 0; size <= maxTrailer; {
+	for size := 0; size <= message.MaxTrailer; {
 		line, err := b.reader.ReadSlice('\n')
 		switch {
 		case errors.Is(err, io.EOF):
@@ -58,5 +55,5 @@
 		}
 		size += len(line)
 	}
-	return errLongTrailer
+	return message.ErrLongTrailer
 }
--- a/internal/agent/upstream/memory_bench_test.go
+++ b/internal/agent/upstream/memory_bench_test.go
@@ -1,7 +1,6 @@
 package upstream
 
 import (
-	"runtime"
 	"sync"
 	"testing"
 	"time"
@@ -18,7 +17,7 @@
 		target := readyTarget(agenttest.Listen(b).Addr().String())
 		pool := newTestPool(time.Second, attempts)
 		request := orderRequest(target.Addr, make([]byte, 1000))
-		before := liveBytes()
+		before := agenttest.LiveBytes()
 		var running sync.WaitGroup
 		for range attempts {
 			running.Add(1)
@@ -28,7 +27,7 @@
 			}()
 		}
 		time.Sleep(time.Second) // until all wait for a response
-		perConn := (int64(liveBytes()) - int64(before)) / attempts
+		perConn := (int64(agenttest.LiveBytes()) - int64(before)) / attempts
 		b.ReportMetric(float64(perConn), "bytes/conn")
 		if perConn > memory.ServerConnCost {
 			b.Errorf("an attempt takes %d bytes, and the budget counts %d", perConn, memory.ServerConnCost)
@@ -36,12 +35,3 @@
 		running.Wait()
 	}
 }
-
-// liveBytes returns the memory in use after two collections: live objects and stacks.
-func liveBytes() uint64 {
-	runtime.GC()
-	runtime.GC()
-	var stats runtime.MemStats
-	runtime.ReadMemStats(&stats)
-	return stats.HeapAlloc + stats.StackInuse
-}
--- a/internal/agent/upstream/response_head_test.go
+++ b/internal/agent/upstream/response_head_test.go
@@ -34,12 +34,12 @@
 
 // A response keeps none of the fields of its trailer, which may be many, and its body ends only with the trailer.
 func TestResponseTrailerIsDropped(t *testing.T) {
-	manyFields := strings.Repeat("a:\r\n", maxTrailer/len("a:\r\n"))
+	manyFields := strings.Repeat("a:\r\n", message.MaxTrailer/len("a:\r\n"))
 	for trailer, want := range map[string]error{
 		"\r\n":                              nil,
 		"a: 1\r\nLong-Name:\r\n\r\n":        nil,
 		manyFields + "\r\n":                 nil,
-		manyFields + manyFields + "\r\n":    errLongTrailer,
+		manyFields + manyFields + "\r\n":    message.ErrLongTrailer,
 		"":                                  io.ErrUnexpectedEOF,
 		"a: 1\r\n":                          io.ErrUnexpectedEOF,
 		"a: " + strings.Repeat("x", 2*4096): bufio.ErrBufferFull,
