--- a/cmd/agent/soak_test.go
+++ b/cmd/agent/soak_test.go
@@ -33,6 +33,8 @@
 	// leavingStep is the number of requests of a client after each of which it leaves one without waiting for its
 	// response.
 	leavingStep = 7
+	// latenessInterval is the interval at which the lateness of the test's own process is measured.
+	latenessInterval = 10 * time.Millisecond
 	// maxSharedRun is the longest time for which two processes of an upgrade run before the first is told to end.
 	maxSharedRun = time.Second
 )
@@ -71,6 +73,7 @@
 	listener *sharedListener // of the runs with upgrades; nil in the others
 	restarts atomic.Int64    // counts kills and starts
 	isDown   atomic.Bool     // no process runs; on a shared listener clients can still connect
+	latest   time.Duration   // the most by which this process was late; see measureLateness
 	term     atomic.Int64    // when SIGTERM was sent to the running process, in nanoseconds; 0 if it was not
 
 	mu       sync.Mutex
@@ -127,6 +130,7 @@
 	s.addr = s.config.Listen
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
+	lateness := startParallel(1, func(int) { s.measureLateness(ctx) })
 	clients := startParallel(soakClients, func(index int) { s.client(ctx, index) })
 	crowd := crowd{stop: func() {}}
 	if s.random.IntN(2) == 0 {
@@ -146,6 +150,7 @@
 	cancel()
 	crowd.stop()
 	clients.Wait()
+	lateness.Wait()
 	p.signal(t, syscall.SIGKILL)
 	p.awaitEnd(t)
 	s.report(t)
@@ -164,7 +169,18 @@
 	for _, problem := range s.problems {
 		t.Error(problem)
 	}
-	t.Logf("%d requests executed; shared listener: %v", len(s.executed), s.listener != nil)
+	t.Logf("%d requests executed; shared listener: %v; this process was late by %v at most",
+		len(s.executed), s.listener != nil, s.latest)
+}
+
+// measureLateness measures how late this process itself gets the processor, until ctx is done. It tells answers that
+// came late from those that were read late.
+func (s *soak) measureLateness(ctx context.Context) {
+	for ctx.Err() == nil {
+		due := time.Now().Add(latenessInterval)
+		pause(ctx, latenessInterval)
+		s.latest = max(s.latest, time.Since(due))
+	}
 }
 
 // start starts a process and waits until it listens.
