Cut off long texts in log lines that wait to be written

Up to 64 lines wait, each with the id of a request, which may take 16 KB: up to 1 MB that no budget counts, while nobody reads the log. Texts of more than 2 KB are cut off.

--- a/internal/agent/dispatch/async_logger.go
+++ b/internal/agent/dispatch/async_logger.go
@@ -12,6 +12,8 @@
 	logLinesPerSecond, logBurst = 5, 50
 	// logBufferSize is the number of lines that may wait to be written.
 	logBufferSize = 64
+	// maxLoggedText is the greatest size of a text in a line, in bytes. Clients choose the ids of their requests.
+	maxLoggedText = 2 << 10
 )
 
 // asyncLogger writes the event loop's log lines in a separate goroutine, because a log that nobody reads would
@@ -49,6 +51,7 @@
 
 // log logs a line without a rate limit. The line is dropped if the buffer is full.
 func (l *asyncLogger) log(level slog.Level, text string, args ...any) {
+	shortenTexts(args)
 	select {
 	case l.lines <- func(ctx context.Context) { l.logger.Log(ctx, level, text, args...) }:
 	default:
@@ -56,6 +59,15 @@
 	}
 }
 
+// shortenTexts cuts off texts that are longer than maxLoggedText, so that a line that waits does not hold them.
+func shortenTexts(args []any) {
+	for i, arg := range args {
+		if long, ok := arg.(string); ok && len(long) > maxLoggedText {
+			args[i] = long[:maxLoggedText] + "..."
+		}
+	}
+}
+
 // run writes the buffered lines until ctx is done.
 func (l *asyncLogger) run(ctx context.Context) {
 	for {
