--- a/internal/agent/client_close_races_test.go
+++ b/internal/agent/client_close_races_test.go
@@ -139,6 +139,7 @@
 	cancel()
 	<-failed
 	waitConnEnded(t, server)
+	agenttest.WaitUntil(t, "the close is counted", func() bool { return agent.metricsNow().ClientsGone > 0 })
 	if metrics := agent.metricsNow(); metrics.ClientsGone != 1 || metrics.Backstops != 0 {
 		t.Errorf("metrics %+v, want 1 closed client and no backstop", metrics)
 	}
