--- a/review/standin-2/case_moved.go
+++ b/review/standin-2/case_moved.go
@@ -16,8 +16,6 @@
 		after       = 25 * time.Second
 		toldAfter   = 4 * time.Second // TERMS, "Reconfiguration"
 		toldRemoved = 6 * time.Second // PROTOCOL, "Figures"
-		grace       = 300*time.Millisecond + 50*time.Millisecond
-		heldUp      = 150 * time.Millisecond
 	)
 	var servers []*standInServer
 	var list targetList
@@ -69,26 +67,5 @@
 	time.Sleep(after)
 	results := traffic.finish()
 	transcript(results, servers)
-	var v verdict
-	if agent.ended() {
-		v.broken("the agent has ended")
-	}
-	last := told.Add(grace + heldUp)
-	note("%d requests sent; nothing may reach s-3 from %s on", len(results), at(last))
-	for _, s := range servers {
-		early, late := 0, 0
-		for _, a := range s.all() {
-			if a.First.After(last) {
-				late++
-			} else {
-				early++
-			}
-			if s == gone && a.First.After(last) {
-				v.broken("request %s reached s-3 at %s, %.1f s after the agent counted as told that it is gone",
-					a.ID, at(a.First), a.First.Sub(told).Seconds())
-			}
-		}
-		note("%s got %d requests until then and %d later", s.Name, early, late)
-	}
-	return v
+	return drainVerdict(servers, gone, agent, told)
 }
