--- a/review/standin-2/case_absent.go
+++ b/review/standin-2/case_absent.go
@@ -34,7 +34,7 @@
 	}
 	config.write()
 	agent := startAgent(dir, config)
-	traffic := startLoad(config.object["listen"].(string), perSecond, nil)
+	traffic := startLoad(config.object["listen"].(string), perSecond)
 	time.Sleep(pause)
 	if trouble {
 		old := discovery
--- a/review/standin-2/case_moved.go
+++ b/review/standin-2/case_moved.go
@@ -41,7 +41,7 @@
 	check(err)
 	config := newAgentConfig(dir, freeAddr(), oldCluster[0].http, known)
 	agent := startAgent(dir, config)
-	traffic := startLoad(config.object["listen"].(string), perSecond, nil)
+	traffic := startLoad(config.object["listen"].(string), perSecond)
 	time.Sleep(before)
 
 	told := time.Now().Add(toldAfter)
--- a/review/standin-2/case_outage.go
+++ b/review/standin-2/case_outage.go
@@ -25,7 +25,7 @@
 	config := newAgentConfig(dir, freeAddr(), discovery.addr(), discovery.list())
 	agents := newPlatform(dir, config)
 	agent := agents.start()
-	traffic := startLoad(config.object["listen"].(string), perSecond, nil)
+	traffic := startLoad(config.object["listen"].(string), perSecond)
 	time.Sleep(pause)
 	draining := list[2]
 	draining.State = "draining"
--- a/review/standin-2/case_upgrade.go
+++ b/review/standin-2/case_upgrade.go
@@ -105,7 +105,7 @@
 	config := newAgentConfig(dir, freeAddr(), first.addr(), first.list())
 	agents := newPlatform(dir, config)
 	agent := agents.start()
-	traffic := startLoad(config.object["listen"].(string), perSecond, nil)
+	traffic := startLoad(config.object["listen"].(string), perSecond)
 	time.Sleep(pause)
 	if trouble {
 		discovery = newStandInDiscovery(listVersion, list)
--- a/review/standin-2/client.go
+++ b/review/standin-2/client.go
@@ -20,29 +20,6 @@
 	Key     string
 	Timeout time.Duration
 	Body    string
-	// LeaveAfter is how long the client waits before it leaves; 0: until its time is over.
-	LeaveAfter time.Duration
-	Chunked    bool // the body is sent in chunks
-	Pieces     int  // the request is written in pieces
-}
-
-// write writes the request.
-func (o outgoing) write(conn net.Conn) error {
-	text := o.text()
-	if o.Pieces < 2 {
-		_, err := io.WriteString(conn, text)
-		return err
-	}
-	size := len(text)/o.Pieces + 1
-	for len(text) > 0 {
-		n := min(size, len(text))
-		if _, err := io.WriteString(conn, text[:n]); err != nil {
-			return err
-		}
-		text = text[n:]
-		time.Sleep(5 * time.Millisecond)
-	}
-	return nil
 }
 
 // result is what a client got.
@@ -55,7 +32,6 @@
 	Err      string // why there is no complete response
 	OnReused bool   // sent on a connection that had carried a request before
 	Resent   bool   // sent once more, as the connection was closed before a byte of an answer
-	Left     time.Time
 }
 
 // client keeps connections to an agent. It sends one request at a time on a connection.
@@ -105,16 +81,11 @@
 		key = "Idempotency-Key: " + o.Key + "\r\n"
 	}
 	length := ""
-	body := o.Body
-	switch {
-	case o.Method == "POST" && o.Chunked:
-		length = "Transfer-Encoding: chunked\r\n"
-		body = fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", len(o.Body), o.Body)
-	case o.Method == "POST":
+	if o.Method == "POST" {
 		length = fmt.Sprintf("Content-Length: %d\r\n", len(o.Body))
 	}
 	return fmt.Sprintf("%s %s HTTP/1.1\r\nHost: backend.local\r\nRequest-Id: %s\r\nRequest-Class: %s\r\n"+
-		"Request-Timeout-Ms: %d\r\n%s%s\r\n%s", o.Method, o.Path, o.ID, o.Class, o.Timeout.Milliseconds(), key, length, body)
+		"Request-Timeout-Ms: %d\r\n%s%s\r\n%s", o.Method, o.Path, o.ID, o.Class, o.Timeout.Milliseconds(), key, length, o.Body)
 }
 
 // do sends a request and waits for its answer until patience after its time. If a kept connection ends before a byte of
@@ -141,7 +112,7 @@
 func (r *result) exchange(c *client, conn *clientConn, o outgoing, patience time.Duration) (gotByte bool) {
 	conn.used++
 	r.Err = ""
-	err := o.write(conn)
+	_, err := io.WriteString(conn, o.text())
 	r.Sent = time.Now()
 	if err != nil {
 		r.Err, r.Ended = "write: "+err.Error(), time.Now()
@@ -149,17 +120,6 @@
 		return false
 	}
 	_ = conn.SetReadDeadline(r.Sent.Add(o.Timeout + patience))
-	if o.LeaveAfter > 0 {
-		_ = conn.SetReadDeadline(r.Sent.Add(o.LeaveAfter))
-		if _, err := conn.reader.Peek(1); err != nil {
-			r.fail(conn, err)
-			if r.Err == "no answer" {
-				r.Left = time.Now()
-			}
-			return false
-		}
-		_ = conn.SetReadDeadline(r.Sent.Add(o.Timeout + patience))
-	}
 	if _, err := conn.reader.Peek(1); err != nil {
 		r.fail(conn, err)
 		return false
--- a/review/standin-2/load.go
+++ b/review/standin-2/load.go
@@ -9,7 +9,6 @@
 // load sends requests at a rate until it is stopped, and collects what the clients got.
 type load struct {
 	client  *client
-	vary    func(*outgoing) // changes a request before it is sent; may be nil
 	mu      sync.Mutex
 	results []result
 	wait    sync.WaitGroup
@@ -48,8 +47,8 @@
 }
 
 // startLoad sends perSecond requests a second.
-func startLoad(addr string, perSecond float64, vary func(*outgoing)) *load {
-	l := &load{client: &client{addr: addr}, vary: vary, stop: make(chan struct{}), ended: make(chan struct{})}
+func startLoad(addr string, perSecond float64) *load {
+	l := &load{client: &client{addr: addr}, stop: make(chan struct{}), ended: make(chan struct{})}
 	go func() {
 		defer close(l.ended)
 		for {
@@ -59,11 +58,7 @@
 			case <-l.stop:
 				return
 			}
-			o := newRequest(requestClasses[rand.N(len(requestClasses))])
-			if l.vary != nil {
-				l.vary(&o)
-			}
-			l.send(o)
+			l.send(newRequest(requestClasses[rand.N(len(requestClasses))]))
 		}
 	}()
 	return l
--- a/review/standin-2/process.go
+++ b/review/standin-2/process.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -88,12 +89,27 @@
 	}
 }
 
-// freeAddr returns a loopback address with a free port.
+var usedPorts = map[int]bool{}
+
+// freeAddr returns a loopback address with a free port, below those that the kernel gives to connections.
 func freeAddr() string {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	check(err)
-	defer func() { _ = ln.Close() }()
-	return ln.Addr().String()
+	const first, count, tries = 11000, 19000, 1000
+	for range tries {
+		port := first + rand.N(count)
+		if usedPorts[port] {
+			continue
+		}
+		addr := fmt.Sprintf("127.0.0.1:%d", port)
+		ln, err := net.Listen("tcp", addr)
+		if err != nil {
+			continue
+		}
+		check(ln.Close())
+		usedPorts[port] = true
+		return addr
+	}
+	unable("no free port")
+	return ""
 }
 
 // target is an entry of the list of servers.
--- a/review/standin-2/server.go
+++ b/review/standin-2/server.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -182,5 +181,3 @@
 type cannotRun struct{ err error }
 
 func unable(format string, args ...any) { panic(cannotRun{fmt.Errorf(format, args...)}) }
-
-var errClosedUnanswered = errors.New("closed without an answer")
