--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -5,8 +5,10 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -38,8 +40,25 @@
 const (
 	exitHeld, exitBroken, exitUnable = 0, 1, 2
 	usageArgs                        = 3
+	// longest is the greatest time that a case may take.
+	longest = 115 * time.Second
 )
 
+// endEarly ends all processes, removes the folder and exits when a signal arrives or the case takes too long.
+func endEarly(dir string) {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	select {
+	case got := <-signals:
+		note("the case was ended: %v", got)
+	case <-time.After(longest):
+		note("the case takes longer than %v", longest)
+	}
+	endAll()
+	_ = os.RemoveAll(dir)
+	os.Exit(exitUnable)
+}
+
 func main() {
 	if len(os.Args) != usageArgs {
 		fmt.Fprintln(os.Stderr, "usage: standin-2 CASE FOLDER")
@@ -86,6 +105,7 @@
 		}
 		_ = record.Close()
 	}()
+	go endEarly(dir)
 	note("case %s, trouble %v", name, trouble)
 	breaks := runCase(dir)
 	endAll()
