--- a/review/standin-2/case_absent.go
+++ b/review/standin-2/case_absent.go
@@ -46,8 +46,7 @@
 		agent.signal(syscall.SIGHUP)
 		note("SIGHUP: discovery moves from %s to %s, with the same list; a class without aimStretch is added",
 			old.addr(), discovery.addr())
-		time.Sleep(1500 * time.Millisecond)
-		old.close()
+		old.retire()
 		note("the old address is closed")
 	}
 	time.Sleep(2 * pause)
--- a/review/standin-2/case_moved.go
+++ b/review/standin-2/case_moved.go
@@ -39,7 +39,8 @@
 	awaitLists(newCluster)
 	known, err := readList(oldCluster[0].http)
 	check(err)
-	config := newAgentConfig(dir, freeAddr(), oldCluster[0].http, known)
+	oldAddress := newRelay(oldCluster[0].http)
+	config := newAgentConfig(dir, freeAddr(), oldAddress.addr(), known)
 	agent := startAgent(dir, config)
 	traffic := startLoad(config.object["listen"].(string), perSecond)
 	time.Sleep(before)
@@ -52,12 +53,9 @@
 		config.object["discovery"] = newCluster[0].http
 		config.write()
 		agent.signal(syscall.SIGHUP)
-		note("SIGHUP: discovery moves from %s to %s", oldCluster[0].http, newCluster[0].http)
-		time.Sleep(1500 * time.Millisecond)
-		for _, d := range oldCluster {
-			d.process.stop(5 * time.Second)
-		}
-		note("the old discovery has ended")
+		note("SIGHUP: discovery moves from %s to %s", oldAddress.addr(), newCluster[0].http)
+		oldAddress.retire()
+		note("the old address is closed")
 	} else {
 		out, err := discoveryCommand("remove", "s-3", "--admin", oldCluster[0].admin)
 		check(err)
--- a/review/standin-2/case_outage.go
+++ b/review/standin-2/case_outage.go
@@ -10,7 +10,7 @@
 	const (
 		perSecond   = 40
 		pause       = 3 * time.Second
-		outage      = 6 * time.Second
+		outage      = 7500 * time.Millisecond // of 8 s (STANDING, herd+mass)
 		listVersion = 41
 	)
 	var servers []*standInServer
@@ -32,10 +32,11 @@
 	discovery.set(draining)
 	time.Sleep(3 * pause)
 	discovery.setSilent(trouble)
+	silentAt := time.Now()
 	time.Sleep(time.Second)
 	agent = agents.upgrade(agent)
 	told := time.Now().Add(2 * time.Second) // "What discovery tells binds 2 s after the yes"; the yes came before
-	time.Sleep(outage)
+	time.Sleep(time.Until(silentAt.Add(outage)))
 	discovery.setSilent(false)
 	time.Sleep(pause)
 	results := traffic.finish()
--- a/review/standin-2/discovery.go
+++ b/review/standin-2/discovery.go
@@ -141,5 +141,9 @@
 	}
 }
 
-// close ends the service: new calls are refused and open ones are reset.
-func (d *standInDiscovery) close() { _ = d.server.Close() }
+// retire takes no new connections from now on, and closes the open ones 1.5 s later.
+func (d *standInDiscovery) retire() {
+	_ = d.ln.Close()
+	time.Sleep(closeAfter)
+	_ = d.server.Close()
+}
--- a/review/standin-2/process.go
+++ b/review/standin-2/process.go
@@ -27,6 +27,7 @@
 var (
 	processes   []*process
 	processesMu sync.Mutex
+	ending      bool // nothing is started any more
 )
 
 // start starts a command by /bin/sh in the project's root, as the platform does. Its output goes to a file.
@@ -38,16 +39,28 @@
 	cmd.Env = append(os.Environ(), env...)
 	cmd.Stdout, cmd.Stderr = log, log
 	cmd.ExtraFiles = files
+	p := launch(cmd)
+	go func() {
+		<-p.done
+		_ = log.Close()
+	}()
+	return p
+}
+
+// launch starts a program, unless all are being ended.
+func launch(cmd *exec.Cmd) *process {
+	processesMu.Lock()
+	defer processesMu.Unlock()
+	if ending {
+		unable("the case is over")
+	}
 	check(cmd.Start())
 	p := &process{cmd: cmd, done: make(chan struct{})}
+	processes = append(processes, p)
 	go func() {
 		p.err = cmd.Wait()
-		_ = log.Close()
 		close(p.done)
 	}()
-	processesMu.Lock()
-	processes = append(processes, p)
-	processesMu.Unlock()
 	return p
 }
 
@@ -82,6 +95,7 @@
 func endAll() {
 	processesMu.Lock()
 	defer processesMu.Unlock()
+	ending = true
 	for _, p := range processes {
 		if !p.ended() {
 			p.kill()
@@ -302,8 +316,11 @@
 // discoveryCommand runs a command of bin/discovery and returns what it printed.
 func discoveryCommand(args ...string) (string, error) {
 	cmd := exec.Command(filepath.Join(root, "bin/discovery"), args...)
-	out, err := cmd.CombinedOutput()
-	return strings.TrimSpace(string(out)), err
+	var out bytes.Buffer
+	cmd.Stdout, cmd.Stderr = &out, &out
+	p := launch(cmd)
+	<-p.done
+	return strings.TrimSpace(out.String()), p.err
 }
 
 // put writes an entry, with retries while there is no leader.
