Show that a request that was sent ahead reaches a server with another body

Twelve requests of 8,000 bytes at once on a connection: the agent discards bytes beyond its 64 KiB of read-ahead and fills the body of a begun request with what comes after them.

--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -4,4 +4,4 @@
 for program in bin/agent bin/review-2/standin-2; do
 	test -x "$program" || { echo "$program is missing: run the build of deploy/balancer.toml and review/build-2.sh"; exit 2; }
 done
-exec bin/review-2/standin-2 outage review/9
+exec bin/review-2/standin-2 upgrade review/9
--- a/review/standin-2/server.go
+++ b/review/standin-2/server.go
@@ -20,7 +20,7 @@
 	Path      string
 	Key       string // Idempotency-Key
 	TimeoutMs int
-	BodySize  int
+	Sent      string // the body of the request
 	First     time.Time // its first byte
 	Last      time.Time // its last byte
 	Conn      int       // number of the connection at its server
@@ -126,7 +126,7 @@
 		timeout, _ := strconv.Atoi(req.Header.Get("Request-Timeout-Ms"))
 		a := &arrival{
 			Server: s.Name, ID: req.Header.Get("Request-Id"), Method: req.Method, Path: req.RequestURI,
-			Key: req.Header.Get("Idempotency-Key"), TimeoutMs: timeout, BodySize: len(body),
+			Key: req.Header.Get("Idempotency-Key"), TimeoutMs: timeout, Sent: string(body),
 			First: first, Last: time.Now(), Conn: number,
 		}
 		s.mu.Lock()
