Hand the endpoint list over to the next process, so that an outage hides no drain

Cause: the new process knew only "known" of the configuration file, and took it as enough to serve. Nothing of the old process's list reached it.

Evidence: the new process logs known_servers=3 and calls with index=41, the version of the file, while the old one was at 42; it logs no list until discovery is back. So the list did not arrive; that it arrived and was not obeyed is excluded.

Change: the process that holds the lock keeps its list, its version and the addresses that it is from in a file under $TMPDIR (package handover): replaced atomically, with a format version, length, checksum, identity of the agent and a bound of 1/32 of the memory. The next process starts from it, and follows it while the other one runs, until discovery has answered; any answer replaces it. What can't be used is logged with one line and ignored. A list of other addresses than those called is not compared by version: the whole list is requested.

Why it works: the list in force is now the one that the agent as a whole was last told, whichever process was told, and it is carried on over several upgrades.

--- a/cmd/agent/main.go
+++ b/cmd/agent/main.go
@@ -29,6 +29,9 @@
 	// clientIDsFileName is the name of the file in which those processes keep the ids of requests that must not execute
 	// twice. It must not change either.
 	clientIDsFileName = "request-ids"
+	// handoverFileName is the name of the file in which a process keeps what it hands over to the next one. It must not
+	// change either.
+	handoverFileName = "handover"
 	// gcPercent makes garbage collections rare, since the heap is small and the agent shares its cores.
 	gcPercent = 400
 )
@@ -89,6 +92,7 @@
 		ln.Shared = true
 		ln.LockPath = filepath.Join(os.TempDir(), lockFileName)
 		ln.ClientIDsPath = filepath.Join(os.TempDir(), clientIDsFileName)
+		ln.HandoverPath = filepath.Join(os.TempDir(), handoverFileName)
 		ln.Clients, err = inheritListener(fd)
 	} else {
 		ln.Clients, err = listenTCP(cfg.Listen)
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -48,7 +48,9 @@
 	downstream *downstream.Server
 	pool       *upstream.Pool
 	loop       *dispatch.Loop
-	admin      *admin.Server // nil until Run
+	admin      *admin.Server  // nil until Run
+	lock       *processLock   // nil unless the client listener is shared
+	handover   *stateHandover // nil unless processes hand over their state
 	membership atomic.Pointer[membership.Membership]
 
 	//nolint:containedctx // the loop outlives the context of Run
@@ -66,7 +68,7 @@
 
 // Run creates an agent and calls its Run method.
 func Run(ctx context.Context, cfg *config.Config, listeners Listeners, reloads <-chan *config.Config) error {
-	a, err := New(cfg, listeners) //nolint:contextcheck // the loop outlives ctx: it finishes the open requests
+	a, err := New(cfg, listeners)
 	if err != nil {
 		return err
 	}
@@ -83,40 +85,83 @@
 		listeners.Clients = newUnusedListener()
 	}
 	a := &Agent{
-		cfg:             cfg,
 		listeners:       listeners,
-		pool:            upstream.NewPool(cfg),
 		loopDone:        make(chan struct{}),
 		serversReady:    make(chan struct{}),
 		settingsUpdates: make(chan settingsUpdate),
 		servingDone:     make(chan struct{}),
 	}
-	loopCtx, stopLoop := context.WithCancel(context.Background())
-	loop, err := dispatch.New(loopCtx, cfg, dispatch.Options{
-		ClientIDs:      listeners.openClientIDs(cfg.Logger()),
-		Pool:           a.pool,
-		OnServersReady: sync.OnceFunc(func() { close(a.serversReady) }),
-		ApplySettings:  a.applySettings,
-	})
+	cfg, err := a.joinProcesses(cfg)
 	if err != nil {
-		stopLoop()
 		return nil, fmt.Errorf("agent: %w", err)
 	}
-	a.loop = loop
-	a.loopCtx = loopCtx
-	a.stopLoop = stopLoop
-	a.downstream = downstream.New(loopCtx, cfg, downstream.Options{
+	a.cfg = cfg
+	a.pool = upstream.NewPool(cfg)
+	a.loopCtx, a.stopLoop = context.WithCancel(context.Background())
+	if err := a.createLoop(); err != nil {
+		a.stopLoop()
+		if a.lock != nil {
+			a.lock.close()
+		}
+		return nil, fmt.Errorf("agent: %w", err)
+	}
+	a.downstream = downstream.New(a.loopCtx, cfg, downstream.Options{
 		Listener:   listeners.Clients,
 		Shared:     listeners.Shared,
-		Dispatcher: loop,
+		Dispatcher: a.loop,
 		Streams:    a.pool.Streams(),
 		OnDrain:    a.announceDrain,
 	})
-	loop.ReportResources(a.describeResources)
+	a.loop.ReportResources(a.describeResources)
 	a.killed, a.kill = context.WithCancel(context.Background())
 	return a, nil
 }
 
+// joinProcesses prepares for other processes of the agent if the client listener is shared with them. It returns the
+// configuration with what another process has handed over.
+func (a *Agent) joinProcesses(cfg *config.Config) (*config.Config, error) {
+	if !a.listeners.Shared {
+		return cfg, nil
+	}
+	lock, err := openProcessLock(a.listeners.LockPath)
+	if err != nil {
+		return nil, err
+	}
+	a.lock = lock
+	if a.listeners.HandoverPath == "" {
+		return cfg, nil
+	}
+	cfg = cfg.WithSavedState()
+	a.handover = newStateHandover(cfg, a.listeners.HandoverPath)
+	cfg = a.handover.inherit(cfg, !lock.held)
+	if onMemoryLimit := cfg.Hooks.OnMemoryLimit; onMemoryLimit != nil {
+		onMemoryLimit(cfg.MemoryLimit())
+	}
+	return cfg, nil
+}
+
+// createLoop creates the event loop.
+func (a *Agent) createLoop() error {
+	options := dispatch.Options{
+		ClientIDs:      a.listeners.openClientIDs(a.cfg.Logger()),
+		Pool:           a.pool,
+		OnServersReady: sync.OnceFunc(func() { close(a.serversReady) }),
+		ApplySettings:  a.applySettings,
+	}
+	if a.handover != nil {
+		options.OnListChange = a.handover.listChanged
+	}
+	loop, err := dispatch.New(a.loopCtx, a.cfg, options)
+	if err != nil {
+		return err
+	}
+	a.loop = loop
+	if a.handover != nil {
+		a.handover.loop = loop
+	}
+	return nil
+}
+
 // announceDrain notifies the other agents that this one has started or stopped draining.
 func (a *Agent) announceDrain(draining bool) {
 	if member := a.membership.Load(); member != nil {
@@ -162,13 +207,17 @@
 
 // newSharedLimits returns the limits that this process shares with another process of the same agent.
 func (a *Agent) newSharedLimits() *sharedLimits {
-	return &sharedLimits{
+	limits := &sharedLimits{
 		cfg:        a.cfg,
 		admin:      a.admin,
 		downstream: a.downstream,
 		pool:       a.pool,
 		quotas:     a.quotas(),
 	}
+	if a.handover != nil {
+		limits.observer = a.handover
+	}
+	return limits
 }
 
 // quotas returns all quotas of the process.
@@ -194,6 +243,9 @@
 		a.cfg.Logger().Warn("shutdown", "err", err)
 	}
 	<-left
+	if a.handover != nil {
+		a.handover.save() // a change may not be saved yet
+	}
 	a.stopLoop()
 	<-a.loopDone
 	a.cfg.Logger().Info("stopped", "metrics", a.loop.MetricsText())
@@ -209,10 +261,7 @@
 	if a.listeners.Admin != nil {
 		go func() { failed <- a.admin.Serve(a.listeners.Admin) }()
 	}
-	firstListTimer, err := a.prepareAccepting(limits, failed)
-	if err != nil {
-		return 0, err
-	}
+	firstListTimer := a.prepareAccepting(limits, failed)
 	serversReady := a.serversReady
 	active := &activeConfig{
 		cfg:        a.cfg,
@@ -248,18 +297,16 @@
 // prepareAccepting makes the preparations that don't require a usable server. A value on the returned channel means
 // that the agent must report that it is ready although it knows no server. The channel is nil if the agent must never
 // do so.
-func (a *Agent) prepareAccepting(limits *sharedLimits, failed chan<- error) (timeout <-chan time.Time, err error) {
+func (a *Agent) prepareAccepting(limits *sharedLimits, failed chan<- error) (timeout <-chan time.Time) {
 	if !a.listeners.Shared {
 		// Requests are rejected until a server is known.
 		a.downstream.Start(failed)
-		return time.After(firstListTimeout), nil
-	}
-	// The lock is taken before the first client is accepted, so that this process doesn't use the other one's share of
-	// the limits. There is no timeout: the process that still serves may know a server.
-	if err := limits.holdLock(a.loopCtx, a.listeners.LockPath); err != nil {
-		return nil, fmt.Errorf("agent: %w", err)
+		return time.After(firstListTimeout)
 	}
-	return nil, nil
+	// The limits are divided before the first client is accepted, so that this process doesn't use the other one's share.
+	// There is no timeout: the process that still serves may know a server.
+	limits.followLock(a.loopCtx, a.lock)
+	return nil
 }
 
 // startServing starts serving clients once requests may be sent to a server. Connections of a shared accept queue are
--- a/internal/agent/agenttest/discovery.go
+++ b/internal/agent/agenttest/discovery.go
@@ -74,7 +74,9 @@
 	mu      sync.Mutex
 	List    endpoint.List
 	changed map[string]uint64 // the list version of each endpoint's last change, by endpoint ID
+	removed map[string]uint64 // the list version of the removal of each endpoint that is no longer listed, by ID
 	down    bool
+	silent  bool
 	calls   int
 	wake    chan struct{}
 	watched chan uint64 // the index of each watch call
@@ -86,6 +88,7 @@
 	d := &Discovery{
 		List:    endpoint.List{Version: 1, Full: true, Servers: servers},
 		changed: map[string]uint64{},
+		removed: map[string]uint64{},
 		wake:    make(chan struct{}),
 		watched: make(chan uint64, eventBuffer),
 	}
@@ -100,8 +103,12 @@
 func (d *Discovery) serve(w http.ResponseWriter, req *http.Request) {
 	d.mu.Lock()
 	d.calls++
-	down := d.down
+	down, silent := d.down, d.silent
 	d.mu.Unlock()
+	if silent {
+		<-req.Context().Done()
+		return
+	}
 	if down {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
@@ -124,8 +131,12 @@
 	timeout := time.After(wait)
 	for {
 		d.mu.Lock()
-		delta, wake, down := d.changesSince(index), d.wake, d.down
+		delta, wake, down, silent := d.changesSince(index), d.wake, d.down, d.silent
 		d.mu.Unlock()
+		if silent {
+			<-ctx.Done()
+			return
+		}
 		if down {
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return
@@ -157,6 +168,11 @@
 			delta.Servers = append(delta.Servers, entry)
 		}
 	}
+	for id, removedAt := range d.removed {
+		if removedAt > version {
+			delta.Servers = append(delta.Servers, endpoint.Endpoint{ID: id, State: endpoint.StateRemoved})
+		}
+	}
 	return delta
 }
 
@@ -169,6 +185,7 @@
 	defer d.mu.Unlock()
 	d.List.Version++
 	d.changed[entry.ID] = d.List.Version
+	delete(d.removed, entry.ID)
 	hasID := func(listed endpoint.Endpoint) bool { return listed.ID == entry.ID }
 	if i := slices.IndexFunc(d.List.Servers, hasID); i >= 0 {
 		d.List.Servers[i] = entry
@@ -178,6 +195,25 @@
 	d.wakeWatches()
 }
 
+// Remove removes the endpoint with the given ID from the list.
+func (d *Discovery) Remove(id string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.List.Version++
+	d.removed[id] = d.List.Version
+	hasID := func(listed endpoint.Endpoint) bool { return listed.ID == id }
+	d.List.Servers = slices.DeleteFunc(d.List.Servers, hasID)
+	d.wakeWatches()
+}
+
+// SetSilent sets whether calls get no response. Calls that arrived meanwhile never get one.
+func (d *Discovery) SetSilent(silent bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.silent = silent
+	d.wakeWatches()
+}
+
 // SetDown sets whether every call fails with status 503.
 func (d *Discovery) SetDown(down bool) {
 	d.mu.Lock()
--- a/internal/agent/config/config.go
+++ b/internal/agent/config/config.go
@@ -9,6 +9,7 @@
 	"slices"
 	"time"
 
+	"fernbeam.example/fernbeam/internal/agent/handover"
 	"fernbeam.example/fernbeam/internal/balancer"
 	"fernbeam.example/fernbeam/internal/clock"
 	"fernbeam.example/fernbeam/internal/endpoint"
@@ -29,7 +30,10 @@
 	Sockets   int // maximum number of file descriptors of the process
 	// InitialList is the endpoint list in force until discovery has responded.
 	InitialList endpoint.List
-	Settings    balancer.Settings
+	// InitialListOrigin is the origin of InitialList if another process has handed it over, else nil: the list of the file
+	// is taken to be from the configured addresses of discovery.
+	InitialListOrigin *handover.Origin
+	Settings          balancer.Settings
 	// Membership is the configuration of the membership view that the agents keep; nil if they keep none.
 	Membership *membership.Config
 	// Control selects what the discovery service sends in addition to the list, and from which further addresses. It is
@@ -51,6 +55,7 @@
 
 	document        document           // the decoded file, for comparison with the next one
 	startDocument   document           // the decoded file of the start, once another has replaced it; nil before
+	savesState      bool               // the process saves its state in a file
 	serviceSettings *endpoint.Settings // settings in force if they came from the discovery service, else nil
 }
 
@@ -115,6 +120,14 @@
 	return all
 }
 
+// WithHandedOverList returns a copy of the configuration whose initial list is one that another process handed over.
+func (c *Config) WithHandedOverList(list *handover.List) *Config {
+	next := *c
+	next.InitialList = endpoint.List{Version: list.Version, Full: true, Servers: list.Servers}
+	next.InitialListOrigin = &list.Origin
+	return &next
+}
+
 // SettingsVersion returns the version of the settings, or 0 if they came from the file.
 func (c *Config) SettingsVersion() uint64 {
 	if c.serviceSettings == nil {
--- a/internal/agent/discovery/source.go
+++ b/internal/agent/discovery/source.go
@@ -34,8 +34,11 @@
 	}
 }
 
-// lastAnswer returns when the source last responded to a call, on the monotonic clock; 0 means never.
-func (s *Source) lastAnswer() time.Duration { return time.Duration(s.answered.Load()) }
+// Addresses returns the addresses of the source.
+func (s *Source) Addresses() []string { return s.addrs }
+
+// LastAnswer returns when the source last responded to a call, on the monotonic clock; 0 means never.
+func (s *Source) LastAnswer() time.Duration { return time.Duration(s.answered.Load()) }
 
 // countOlderAnswer counts a response with an older version. A single address may lag behind for a time. Once all
 // addresses have returned an older version, discovery may have been restored from older data, and the next watch
--- a/internal/agent/discovery/watch.go
+++ b/internal/agent/discovery/watch.go
@@ -74,7 +74,7 @@
 	source := c.CurrentSource()
 	done := make(chan Response, 1)
 	version := source.version
-	response := Response{Source: source, Watch: true, Complete: version == 0, LastAnswer: source.lastAnswer()}
+	response := Response{Source: source, Watch: true, Complete: version == 0, LastAnswer: source.LastAnswer()}
 	go func() {
 		query := fmt.Sprintf("?index=%d&wait=%d%s", version, watchWait.Milliseconds(), c.settingsWatch.query())
 		call := listCall{query: query, timeout: watchWait + callGrace, minVersion: version}
--- a/internal/agent/dispatch/endpoint_list.go
+++ b/internal/agent/dispatch/endpoint_list.go
@@ -1,6 +1,9 @@
 package dispatch
 
 import (
+	"slices"
+	"strings"
+
 	"fernbeam.example/fernbeam/internal/agent/keyhash"
 	"fernbeam.example/fernbeam/internal/agent/upstream"
 	"fernbeam.example/fernbeam/internal/balancer"
@@ -11,10 +14,11 @@
 type listedServer struct {
 	upstream.Server
 	id         string
-	policyAddr balancer.Addr // identifies it to the policy
-	addr       string        // network address, as last listed for this agent
-	removed    bool          // no longer in the list
-	inFlight   int           // attempts and health checks in flight
+	policyAddr balancer.Addr     // identifies it to the policy
+	addr       string            // network address, as last listed for this agent
+	entry      endpoint.Endpoint // as last listed
+	removed    bool              // no longer in the list
+	inFlight   int               // attempts and health checks in flight
 }
 
 const bitsPerByte = 8
@@ -103,6 +107,7 @@
 
 func (l *endpointList) applyEntry(entry *endpoint.Endpoint, startedMs float64, changes *listChanges) {
 	server := l.findOrAdd(entry.ID)
+	server.entry = *entry
 	state := endpointState(entry.State)
 	if entry.Addr != "" && server.addr != entry.Addr {
 		changes.staleAddrs = append(changes.staleAddrs, server.addr)
@@ -161,6 +166,21 @@
 	}
 }
 
+// entries returns the entries of all listed servers, ordered by id.
+func (l *endpointList) entries() []endpoint.Endpoint {
+	entries := make([]endpoint.Endpoint, 0, len(l.byID))
+	for _, server := range l.byID {
+		if server.removed {
+			continue
+		}
+		entry := server.entry
+		entry.Addr = server.addr // a later entry may have none
+		entries = append(entries, entry)
+	}
+	slices.SortFunc(entries, func(a, b endpoint.Endpoint) int { return strings.Compare(a.ID, b.ID) })
+	return entries
+}
+
 // hasReady reports whether any server is ready for requests.
 func (l *endpointList) hasReady() bool {
 	for _, server := range l.byID {
--- a/internal/agent/dispatch/list_updates.go
+++ b/internal/agent/dispatch/list_updates.go
@@ -44,6 +44,7 @@
 	if response.Complete {
 		origin.lastResponseAt = 0
 	}
+	l.list.answered = true
 	l.applyList(list, update, origin)
 	if l.endpoints.hasReady() {
 		l.onServersReady()
@@ -107,4 +108,7 @@
 		onList(list.Version)
 	}
 	l.list.notifiedVersion = list.Version
+	if l.onListChange != nil {
+		l.onListChange()
+	}
 }
--- a/internal/agent/dispatch/loop.go
+++ b/internal/agent/dispatch/loop.go
@@ -13,6 +13,7 @@
 
 	"fernbeam.example/fernbeam/internal/agent/config"
 	"fernbeam.example/fernbeam/internal/agent/discovery"
+	"fernbeam.example/fernbeam/internal/agent/handover"
 	"fernbeam.example/fernbeam/internal/agent/message"
 	"fernbeam.example/fernbeam/internal/agent/requestids"
 	"fernbeam.example/fernbeam/internal/agent/upstream"
@@ -48,6 +49,7 @@
 	list           listState
 	startTimes     *startTimeTable
 	onServersReady func()        // called when a list with a ready server is in force
+	onListChange   func()        // called when a list is in force
 	resources      func() string // describes the use of the process's resources for the log; may be nil
 
 	logger    *asyncLogger
@@ -59,6 +61,8 @@
 type listState struct {
 	version         uint64
 	source          *discovery.Source // the source that version belongs to
+	answered        bool              // the list in force is from source, which has answered since the start
+	inherited       *handover.Origin  // of the list in force until answered; nil if it is the one of the configuration
 	watch           listWatch
 	fetching        bool   // a fetch is in flight
 	notifiedVersion uint64 // the last version passed to Hooks.OnList
@@ -76,6 +80,8 @@
 	Pool *upstream.Pool
 	// OnServersReady is called each time a list with a ready server comes into force.
 	OnServersReady func()
+	// OnListChange is called after each change of the endpoint list. It must not block.
+	OnListChange func()
 	// ApplySettings is called with settings from the discovery service. It may be nil if the configuration does not
 	// request such settings.
 	ApplySettings discovery.ApplySettings
@@ -104,6 +110,7 @@
 		clientIDs:      clientIDs,
 		startTimes:     newStartTimeTable(eventTime),
 		onServersReady: options.OnServersReady,
+		onListChange:   options.OnListChange,
 		logger:         newAsyncLogger(cfg.Logger()),
 		metrics:        newMetrics(),
 	}
@@ -113,6 +120,7 @@
 		ApplySettings: options.ApplySettings,
 	})
 	l.list.source = l.discovery.CurrentSource()
+	l.list.inherited = cfg.InitialListOrigin
 	return l, nil
 }
 
--- a/internal/agent/listeners.go
+++ b/internal/agent/listeners.go
@@ -19,6 +19,8 @@
 	LockPath string
 	// ClientIDsPath is the path of the file in which those processes keep the ids of requests that must not execute twice.
 	ClientIDsPath string
+	// HandoverPath is the path of the file in which those processes hand over what they know; empty if they don't.
+	HandoverPath string
 	// Admin accepts the connections to the admin endpoint; nil if there is no admin endpoint.
 	Admin net.Listener
 }
--- a/internal/agent/shared_limits.go
+++ b/internal/agent/shared_limits.go
@@ -2,14 +2,9 @@
 
 import (
 	"context"
-	"fmt"
-	"os"
 	"sync"
-	"syscall"
 	"time"
 
-	"golang.org/x/sys/unix"
-
 	"fernbeam.example/fernbeam/internal/agent/config"
 	"fernbeam.example/fernbeam/internal/agent/message"
 )
@@ -29,6 +24,7 @@
 	downstream connLimiter
 	pool       connLimiter
 	quotas     []message.Quota
+	observer   lockObserver // may be nil
 
 	mu     sync.Mutex
 	halved bool
@@ -77,27 +73,25 @@
 	s.admin.SetConnLimit(s.cfg.MaxAdminConns(processes))
 }
 
-// holdLock locks the file at path until ctx is done. While another process holds the lock, this process has half of
-// the limits, and so has the process that holds it, as it sees by announceWaiting. The kernel releases the locks of a
-// process however the process ends.
-func (s *sharedLimits) holdLock(ctx context.Context, path string) error {
-	lockFile, err := os.OpenFile(path, os.O_CREATE|os.O_RDWR, 0o600)
-	if err != nil {
-		return fmt.Errorf("lock: %w", err)
-	}
-	locked := tryLock(lockFile)
-	if !locked {
+// followLock divides the limits by the lock until ctx is done, and then closes it. While another process holds the
+// lock, this process has half of the limits, and so has the process that holds it, as it sees by announceWaiting.
+func (s *sharedLimits) followLock(ctx context.Context, lock *processLock) {
+	held := lock.held
+	if !held {
 		s.cfg.Logger().Info("another process of this agent is running", "limits", "half")
 		s.share(ctx)
 	}
 	go func() {
-		defer func() { _ = lockFile.Close() }() // nothing was written to the file
-		if !locked && !s.awaitLock(ctx, lockFile) {
+		defer lock.close()
+		if !held && !s.awaitLock(ctx, lock) {
 			return
 		}
-		s.watchWaiting(ctx, lockFile)
+		if s.observer != nil {
+			s.observer.acquired(ctx)
+			defer s.observer.releasing()
+		}
+		s.watchWaiting(ctx, lock)
 	}()
-	return nil
 }
 
 // share reduces the limits to half, also that on open client connections, of which idle ones are closed.
@@ -107,7 +101,7 @@
 }
 
 // watchWaiting has half of the limits while another process waits for the lock, until ctx is done.
-func (s *sharedLimits) watchWaiting(ctx context.Context, file *os.File) {
+func (s *sharedLimits) watchWaiting(ctx context.Context, lock *processLock) {
 	ticker := time.NewTicker(lockPollInterval)
 	defer ticker.Stop()
 	for shared := false; ; {
@@ -116,11 +110,14 @@
 		case <-ctx.Done():
 			return
 		}
-		waits := anotherWaits(file)
+		waits := lock.anotherWaits()
 		switch {
 		case waits && !shared:
 			s.cfg.Logger().Info("another process of this agent has started", "limits", "half")
 			s.share(ctx)
+			if s.observer != nil {
+				s.observer.otherWaits()
+			}
 		case shared && !waits:
 			s.restore()
 		}
@@ -130,15 +127,18 @@
 
 // awaitLock waits for the other process to end, then restores the limits and returns true. It returns false if ctx is
 // done first.
-func (s *sharedLimits) awaitLock(ctx context.Context, file *os.File) bool {
+func (s *sharedLimits) awaitLock(ctx context.Context, lock *processLock) bool {
 	ticker := time.NewTicker(lockPollInterval)
 	defer ticker.Stop()
-	announceWaiting(file, true)
+	lock.announceWaiting(true)
 	for {
 		select {
 		case <-ticker.C:
-			if tryLock(file) {
-				announceWaiting(file, false)
+			if s.observer != nil {
+				s.observer.otherHolds()
+			}
+			if lock.tryLock() {
+				lock.announceWaiting(false)
 				s.restore()
 				s.cfg.Logger().Info("no other process of this agent is running", "limits", "full")
 				return true
@@ -148,30 +148,3 @@
 		}
 	}
 }
-
-// waitingRange returns the range of the lock file that a process locks while it waits for another one to end. Locks of
-// ranges are independent of the lock of the whole file.
-func waitingRange(lockType int16) unix.Flock_t { return unix.Flock_t{Type: lockType, Len: 1} }
-
-// announceWaiting tells the process that holds the lock of a file whether this one waits for it. If that fails, the
-// other process learns of this one when it shuts down.
-func announceWaiting(file *os.File, waits bool) {
-	lockType := int16(unix.F_UNLCK)
-	if waits {
-		lockType = unix.F_WRLCK
-	}
-	lock := waitingRange(lockType)
-	_ = unix.FcntlFlock(file.Fd(), unix.F_OFD_SETLK, &lock)
-}
-
-// anotherWaits reports whether another process waits for the lock of a file.
-func anotherWaits(file *os.File) bool {
-	lock := waitingRange(unix.F_WRLCK)
-	err := unix.FcntlFlock(file.Fd(), unix.F_OFD_GETLK, &lock)
-	return err == nil && lock.Type != unix.F_UNLCK
-}
-
-// tryLock locks a file and reports whether it succeeded; it fails if another process holds the lock.
-func tryLock(file *os.File) bool {
-	return syscall.Flock(int(file.Fd()), syscall.LOCK_EX|syscall.LOCK_NB) == nil
-}
--- a/internal/agent/shared_limits_test.go
+++ b/internal/agent/shared_limits_test.go
@@ -47,6 +47,16 @@
 	}
 }
 
+// openLock opens the lock file at path.
+func openLock(t *testing.T, path string) *processLock {
+	t.Helper()
+	lock, err := openProcessLock(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return lock
+}
+
 // available returns the free part of each quota, followed by the limits on client and server connections.
 func (process limitedProcess) available() []int64 {
 	var available []int64
@@ -83,13 +93,9 @@
 	first, second := newLimitedProcess(t), newLimitedProcess(t)
 	all := first.available()
 	firstCtx, endFirst := context.WithCancel(t.Context())
-	if err := first.holdLock(firstCtx, lock); err != nil {
-		t.Fatal(err)
-	}
+	first.followLock(firstCtx, openLock(t, lock))
 	wantAvailable(t, "the first process", first, all)
-	if err := second.holdLock(t.Context(), lock); err != nil {
-		t.Fatal(err)
-	}
+	second.followLock(t.Context(), openLock(t, lock))
 	half := make([]int64, len(all))
 	for i, limit := range all {
 		half[i] = limit - limit/2
@@ -119,14 +125,10 @@
 	lock := filepath.Join(t.TempDir(), "lock")
 	first, second := newLimitedProcess(t), newLimitedProcess(t)
 	all := first.available()
-	if err := first.holdLock(t.Context(), lock); err != nil {
-		t.Fatal(err)
-	}
+	first.followLock(t.Context(), openLock(t, lock))
 	secondCtx, endSecond := context.WithCancel(t.Context())
 	defer endSecond()
-	if err := second.holdLock(secondCtx, lock); err != nil {
-		t.Fatal(err)
-	}
+	second.followLock(secondCtx, openLock(t, lock))
 	agenttest.WaitUntil(t, "the first process shares the limits", func() bool {
 		return !slices.Equal(first.available(), all)
 	})
--- /dev/null
+++ b/internal/agent/state_handover.go
@@ -0,0 +1,143 @@
+package agent
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"time"
+
+	"fernbeam.example/fernbeam/internal/agent/config"
+	"fernbeam.example/fernbeam/internal/agent/dispatch"
+	"fernbeam.example/fernbeam/internal/agent/handover"
+)
+
+const (
+	// minSaveInterval is the minimum time between two saves.
+	minSaveInterval = time.Second
+	// refreshInterval is how often the state is saved without a change, which renews the time at which discovery last
+	// answered. It is well below handover.MaxListAge.
+	refreshInterval = time.Minute
+)
+
+// stateHandover takes over the state that the process before this one has saved, and saves that of this process for the
+// next one. Only the process that holds the lock saves.
+type stateHandover struct {
+	file    *handover.File
+	log     *slog.Logger
+	loop    *dispatch.Loop // set before the first call of a method other than inherit and listChanged
+	changed chan struct{}  // has a value if the list has changed since the last save
+
+	mu         sync.Mutex
+	saving     bool // this process holds the lock
+	saveFailed bool // the last save has failed
+}
+
+// newStateHandover returns the handover by the file at path for the agent with the given configuration.
+func newStateHandover(cfg *config.Config, path string) *stateHandover {
+	agent := handover.Identity{Name: cfg.Name, Listen: cfg.Listen}
+	return &stateHandover{
+		file:    handover.NewFile(path, agent, cfg.MaxHandoverBytes()),
+		log:     cfg.Logger(),
+		changed: make(chan struct{}, 1),
+	}
+}
+
+// inherit returns the configuration with the state that another process has handed over, or the configuration itself if
+// there is none that can be used.
+func (h *stateHandover) inherit(cfg *config.Config, predecessorRuns bool) *config.Config {
+	state := h.load()
+	if state == nil || state.List == nil {
+		return cfg
+	}
+	list := state.List
+	now := cfg.SystemClock().Wall()
+	if err := list.CheckAge(now); err != nil && !predecessorRuns {
+		h.log.Warn("handed-over endpoint list not used", "err", err)
+		return cfg
+	}
+	h.log.Info("endpoint list handed over", "version", list.Version, "servers", len(list.Servers),
+		"sources", list.Sources, "confirmed_ms_ago", now.UnixMilli()-list.ConfirmedMs)
+	return cfg.WithHandedOverList(list)
+}
+
+// load returns the saved state if it is there, has changed since the last call, and can be used.
+func (h *stateHandover) load() *handover.State {
+	state, err := h.file.LoadChanged()
+	if err != nil {
+		h.log.Warn("handed-over state not used", "err", err)
+		return nil
+	}
+	return state
+}
+
+// otherHolds implements lockObserver. It follows what the other process saves meanwhile.
+func (h *stateHandover) otherHolds() {
+	if state := h.load(); state != nil && state.List != nil {
+		h.loop.AdoptList(state.List)
+	}
+}
+
+// acquired implements lockObserver.
+func (h *stateHandover) acquired(ctx context.Context) {
+	h.otherHolds() // what the other process saved last
+	h.mu.Lock()
+	h.saving = true
+	h.mu.Unlock()
+	go h.keepSaved(ctx)
+}
+
+// otherWaits implements lockObserver. The other process needs what is not saved yet.
+func (h *stateHandover) otherWaits() { h.save() }
+
+// releasing implements lockObserver. The next process may save once it returns, and this one no longer does.
+func (h *stateHandover) releasing() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.saving = false
+}
+
+// listChanged requests a save. It doesn't block.
+func (h *stateHandover) listChanged() {
+	select {
+	case h.changed <- struct{}{}:
+	default:
+	}
+}
+
+// keepSaved saves the state now, after changes, and from time to time, until ctx is done.
+func (h *stateHandover) keepSaved(ctx context.Context) {
+	refresh := time.NewTicker(refreshInterval)
+	defer refresh.Stop()
+	for {
+		h.save()
+		select {
+		case <-time.After(minSaveInterval):
+		case <-ctx.Done():
+			return
+		}
+		select {
+		case <-h.changed:
+		case <-refresh.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// save saves the state if this process holds the lock and its loop runs. The first of several failures is logged.
+func (h *stateHandover) save() {
+	list, ok := h.loop.HandoverList()
+	if !ok {
+		return
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if !h.saving {
+		return
+	}
+	err := h.file.Save(handover.State{List: list})
+	if err != nil && !h.saveFailed {
+		h.log.Warn("state not saved for the next process", "err", err)
+	}
+	h.saveFailed = err != nil
+}
