Refuse a reload only for required keys, so that optional ones may be absent

What callers saw: a file that added a class without aimStretch was refused whole, its new discovery address too.

Cause: each key that happened to be in the file in force was taken for a required one.

Evidence: the log names settings.classes.aimStretch as missing, and no move of discovery follows.

Why it works: whether a key may be absent no longer depends on the file before.

--- a/cmd/agent/reload_test.go
+++ b/cmd/agent/reload_test.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"regexp"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -17,6 +18,7 @@
 var (
 	reloadFailed   = regexp.MustCompile("reload failed")
 	discoveryMoved = regexp.MustCompile("discovery moved")
+	reloaded       = regexp.MustCompile("discovery moved|reload failed")
 )
 
 // discoveryCalls receives the name of a discovery service for each call to it.
@@ -86,3 +88,19 @@
 	p.collectLog()
 	p.expectCleanEnd(t)
 }
+
+// A file whose classes lack a key that may be absent is not refused, so that discovery is followed to its new address.
+func TestSIGHUPWithoutOptionalKeyMovesDiscovery(t *testing.T) {
+	calls := make(discoveryCalls, maxDiscoveryCalls)
+	first := calls.startDiscovery(t, "first")
+	second := calls.startDiscovery(t, "second")
+	withKey := strings.Replace(string(pushedConfig(t, first)), `"aimMs":`, `"aimStretch":2,"aimMs":`, 1)
+	p := newProgram(t, []byte(withKey))
+	p.start(t)
+	calls.await(t, "first")
+	p.reload(t, pushedConfig(t, second), reloaded)
+	calls.await(t, "second")
+	p.signal(t, syscall.SIGTERM)
+	p.collectLog()
+	p.expectCleanEnd(t)
+}
--- a/internal/agent/config/document.go
+++ b/internal/agent/config/document.go
@@ -47,65 +47,65 @@
 	return part
 }
 
-// missingIn returns a key that the document has and its successor lacks, as a dotted path, or "" if there is none. In a
-// list of objects, only the keys that all of them have are required.
-func (d document) missingIn(successor document) string {
+// missingIn returns a required key that the document has and its successor lacks, as a dotted path, or "" if there is
+// none. parent is the path of the document in the file. In a list of objects, only the keys that all of them have are
+// required.
+func (d document) missingIn(successor document, parent string) string {
 	for key, value := range d {
-		newValue := successor[key]
-		if newValue == nil && value != nil {
-			return key
+		path := joinKeys([]string{parent, key})
+		if parent == "" {
+			path = key
 		}
-		within, ok := missingWithin(key, value, newValue)
-		if !ok {
-			return key
+		if value == nil || !isRequiredKey(path) {
+			continue
 		}
-		if within != "" {
-			return key + "." + within
+		if missing := missingAt(path, value, successor[key]); missing != "" {
+			return missing
 		}
 	}
 	return ""
 }
 
-// missingWithin compares the value of a key with its successor. It returns a key that is present within the value but
-// missing from the successor, or "" if there is none. ok is false if the successor has another type.
-func missingWithin(key string, value, successor any) (within string, ok bool) {
+// missingAt compares the value at a path with its successor. It returns the path if there is no successor of the same
+// type, the path of a required key that is missing within the successor, or "" if nothing is missing.
+func missingAt(path string, value, successor any) string {
+	if successor == nil {
+		return path
+	}
 	switch value := value.(type) {
 	case map[string]any:
 		object, ok := successor.(map[string]any)
 		if !ok {
-			return "", false
+			return path
 		}
-		return document(value).missingIn(object), true
+		return document(value).missingIn(object, path)
 	case []any:
 		list, ok := successor.([]any)
 		if !ok {
-			return "", false
-		}
-		if key == "known" || key == "servers" {
-			return "", true // the endpoint list changes at any time
+			return path
 		}
-		return missingInList(value, list), true
+		return missingInList(path, value, list)
 	}
-	return "", true
+	return ""
 }
 
-// missingInList returns a key that all objects of a list have and an object of its successor lacks.
-func missingInList(list, successor []any) string {
+// missingInList returns a required key that all objects of the list at a path have and an object of its successor
+// lacks.
+func missingInList(path string, list, successor []any) string {
 	common := commonKeys(list)
 	for _, item := range successor {
 		object, ok := item.(map[string]any)
 		if !ok {
 			continue
 		}
-		if key := common.missingIn(object); key != "" {
+		if key := common.missingIn(object, path); key != "" {
 			return key
 		}
 	}
 	return ""
 }
 
-// commonKeys returns the keys that all objects of a list have, except those that only classes that are idempotent by
-// key need.
+// commonKeys returns the keys that all objects of a list have.
 func commonKeys(list []any) document {
 	var common document
 	for _, item := range list {
@@ -115,8 +115,6 @@
 		}
 		if common == nil {
 			common = maps.Clone(object)
-			delete(common, "group")
-			delete(common, "keyTtlMs")
 		}
 		maps.DeleteFunc(common, func(key string, _ any) bool { return object[key] == nil })
 	}
--- a/internal/agent/config/file.go
+++ b/internal/agent/config/file.go
@@ -93,7 +93,7 @@
 
 // reloaded returns the configuration that replaces the one in force.
 func (f *configFile) reloaded(inForce *Config) (*Config, error) {
-	if key := inForce.document.missingIn(f.document); key != "" {
+	if key := inForce.document.missingIn(f.document, ""); key != "" {
 		return nil, fmt.Errorf("config: %s: missing, though it was there before", key)
 	}
 	return f.config()
--- a/internal/agent/config/settings.go
+++ b/internal/agent/config/settings.go
@@ -42,7 +42,8 @@
 	maps.DeleteFunc(object, func(key string, _ any) bool { return isAgentOnlyKey(key) })
 	ownObject, _ := c.document.section(settingsKey)
 	maps.Copy(object, ownObject.only(agentOnlyKeys))
-	if key := ownObject.missingIn(object); key != "" {
+	if key := ownObject.missingIn(object, settingsKey); key != "" {
+		key = strings.TrimPrefix(key, settingsKey+".")
 		return nil, fmt.Errorf("settings: %s: missing, though it was there before", key)
 	}
 	var parsed Config
