Follow discovery to its newest address in an upgrade, whether it is in file or environment

Cause: a start lets the environment override the file, a reload the file the environment. A second start has both, and nothing tells it that the file has become the newer one.

Evidence: the new process's calls fail at the closed address from the first on; the old one had moved and obeyed the same list.

Change: the handed-over state has both addresses as the process read them, and which is in use. Without a usable state the environment has precedence, as at a first start. If the other process reads a replaced file while both run, this one reads it too.

Why it works: which of two addresses is newer is decided by what has changed, not by where it stands.

--- a/cmd/agent/main.go
+++ b/cmd/agent/main.go
@@ -54,6 +54,12 @@
 		return err
 	}
 	limitRuntime(cfg)
+	cfg.Hooks.OnFileReplaced = func() {
+		select {
+		case hangups <- syscall.SIGHUP:
+		default: // the file will be read anyway
+		}
+	}
 	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer cancel()
 	ln, err := listen(cfg, os.Getenv(listenFDVariable))
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -149,7 +149,7 @@
 		ApplySettings:  a.applySettings,
 	}
 	if a.handover != nil {
-		options.OnListChange = a.handover.listChanged
+		options.OnListChange = a.handover.stateChanged
 	}
 	loop, err := dispatch.New(a.loopCtx, a.cfg, options)
 	if err != nil {
@@ -268,6 +268,7 @@
 		downstream: a.downstream,
 		loop:       a.loop,
 		membership: a.membership.Load(),
+		handover:   a.handover,
 		drainTime:  downstream.DrainTime(&a.cfg.Settings),
 	}
 	for {
--- a/internal/agent/config/config.go
+++ b/internal/agent/config/config.go
@@ -22,6 +22,10 @@
 	// Listen is the address on which clients connect, and Discovery the first address of the discovery service.
 	Listen    string
 	Discovery string
+	// DiscoveryChoice tells where Discovery is from.
+	DiscoveryChoice handover.DiscoveryChoice
+	// FileSum is a checksum of the file's text.
+	FileSum uint32
 	// AdminAddr is the address of the admin endpoint; empty if there is none.
 	AdminAddr string
 	Seed      uint64
@@ -80,6 +84,9 @@
 	// OnMemoryLimit is called with the number of bytes that the process should stay within from now on, when it shares its
 	// limits with another process.
 	OnMemoryLimit func(bytes int64)
+	// OnFileReplaced is called when another process of the agent has read a configuration file that differs from the one
+	// that this process has read.
+	OnFileReplaced func()
 }
 
 // SystemClock returns Clock, or the system clock if Clock is nil.
@@ -128,6 +135,19 @@
 	return &next
 }
 
+// WithInheritedDiscovery returns a copy of the configuration, which was read at a start, for a process that starts after
+// one with the given choice of the address of discovery.
+func (c *Config) WithInheritedDiscovery(before handover.DiscoveryChoice) *Config {
+	choice := before.Next(c.DiscoveryChoice.Environment, c.DiscoveryChoice.File)
+	if !isHostPort(choice.Address()) {
+		return c
+	}
+	next := *c
+	next.DiscoveryChoice = choice
+	next.Discovery = choice.Address()
+	return &next
+}
+
 // SettingsVersion returns the version of the settings, or 0 if they came from the file.
 func (c *Config) SettingsVersion() uint64 {
 	if c.serviceSettings == nil {
--- a/internal/agent/config/file.go
+++ b/internal/agent/config/file.go
@@ -4,12 +4,14 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"hash/crc32"
 	"math"
 	"net"
 	"os"
 	"runtime/debug"
 	"strconv"
 
+	"fernbeam.example/fernbeam/internal/agent/handover"
 	"fernbeam.example/fernbeam/internal/endpoint"
 	"fernbeam.example/fernbeam/internal/membership"
 )
@@ -39,8 +41,12 @@
 	Settings   json.RawMessage `json:"settings"`
 
 	document document // the whole file
+	sum      uint32   // checksum of its text
 }
 
+// checksums is the polynomial of the checksum of a file, CRC-32C.
+var checksums = crc32.MakeTable(crc32.Castagnoli)
+
 // Load reads the configuration from the environment and from the file that $PROXY_CONFIG names. Values of the
 // environment take precedence, because the platform sets them for this start.
 func Load(getenv func(string) string) (*Config, error) {
@@ -48,10 +54,11 @@
 	if err != nil {
 		return nil, err
 	}
+	choice := handover.FirstChoice(getenv("PROXY_DISCOVERY"), f.Discovery)
+	f.Discovery = choice.Address()
 	overrides := map[string]*string{
 		"PROXY_NAME":       &f.Name,
 		"PROXY_LISTEN":     &f.Listen,
-		"PROXY_DISCOVERY":  &f.Discovery,
 		"PROXY_MANAGEMENT": &f.Admin,
 	}
 	for name, field := range overrides {
@@ -59,7 +66,12 @@
 			*field = value
 		}
 	}
-	return f.config()
+	c, err := f.config()
+	if err != nil {
+		return nil, err
+	}
+	c.DiscoveryChoice = choice
+	return c, nil
 }
 
 // Reload reads the file again while the agent is running. Values of the file take precedence over the environment,
@@ -118,7 +130,7 @@
 
 // parseFile decodes a file without validating it.
 func parseFile(text []byte) (*configFile, error) {
-	f := new(configFile)
+	f := &configFile{sum: crc32.Checksum(text, checksums)}
 	if err := json.Unmarshal(text, f); err != nil {
 		return nil, err
 	}
@@ -131,15 +143,17 @@
 // config validates the file and returns its configuration. Errors name the key.
 func (f *configFile) config() (*Config, error) {
 	c := &Config{
-		Name:        f.Name,
-		Listen:      f.Listen,
-		Discovery:   f.Discovery,
-		AdminAddr:   f.Admin,
-		Cores:       f.Limits.Cores,
-		MemoryMB:    f.Limits.MemoryMB,
-		Sockets:     f.Limits.Sockets,
-		InitialList: f.Known,
-		document:    f.document,
+		Name:            f.Name,
+		Listen:          f.Listen,
+		Discovery:       f.Discovery,
+		DiscoveryChoice: handover.FirstChoice("", f.Discovery),
+		FileSum:         f.sum,
+		AdminAddr:       f.Admin,
+		Cores:           f.Limits.Cores,
+		MemoryMB:        f.Limits.MemoryMB,
+		Sockets:         f.Limits.Sockets,
+		InitialList:     f.Known,
+		document:        f.document,
 	}
 	if err := c.checkAddresses(); err != nil {
 		return nil, err
--- a/internal/agent/config/runtime.go
+++ b/internal/agent/config/runtime.go
@@ -20,6 +20,8 @@
 	merged := *c
 	merged.useSettingsOf(next)
 	merged.Discovery = next.Discovery
+	merged.DiscoveryChoice = c.DiscoveryChoice.Reloaded(next.Discovery)
+	merged.FileSum = next.FileSum
 	if c.Control != nil && next.Control != nil { // the section can't be added at run time
 		merged.Control = &Control{Service: c.Control.Service, Addresses: next.Control.Addresses}
 	}
--- /dev/null
+++ b/internal/agent/handover/discovery_choice.go
@@ -0,0 +1,46 @@
+package handover
+
+// DiscoveryChoice is which address of discovery a process uses, and between which it had the choice. The environment is
+// set at the start of a process; the file may be replaced at any time.
+type DiscoveryChoice struct {
+	// Environment is the address that the environment has; empty if it has none.
+	Environment string `json:"environment"`
+	// File is the address that the configuration file had when it was last read.
+	File string `json:"file"`
+	// UsesFile means that the address of the file is in use.
+	UsesFile bool `json:"uses_file"`
+}
+
+// FirstChoice returns the choice of a process that starts without a predecessor. The environment was set for this start.
+func FirstChoice(environment, file string) DiscoveryChoice {
+	return DiscoveryChoice{Environment: environment, File: file, UsesFile: environment == ""}
+}
+
+// Next returns the choice of a process that starts with the given addresses after one that had choice c. The address
+// that has changed is the newer one; if both have, that of the environment is, as it was set for this start. If none
+// has, the choice stays.
+func (c DiscoveryChoice) Next(environment, file string) DiscoveryChoice {
+	next := FirstChoice(environment, file)
+	switch {
+	case environment == "" || file == "":
+	case environment != c.Environment:
+	case file != c.File:
+		next.UsesFile = true
+	default:
+		next.UsesFile = c.UsesFile
+	}
+	return next
+}
+
+// Reloaded returns the choice after the file was read again with the given address, which is then the newest.
+func (c DiscoveryChoice) Reloaded(file string) DiscoveryChoice {
+	return DiscoveryChoice{Environment: c.Environment, File: file, UsesFile: true}
+}
+
+// Address returns the address in use.
+func (c DiscoveryChoice) Address() string {
+	if c.UsesFile {
+		return c.File
+	}
+	return c.Environment
+}
--- a/internal/agent/handover/handover.go
+++ b/internal/agent/handover/handover.go
@@ -41,6 +41,10 @@
 // State is what a process hands over.
 type State struct {
 	Agent Identity `json:"agent"`
+	// Discovery is the address of discovery that the process uses.
+	Discovery DiscoveryChoice `json:"discovery"`
+	// FileSum is the checksum of the configuration file that the process has read.
+	FileSum uint32 `json:"file_sum"`
 	// List is the endpoint list in force. It is nil if discovery has never answered: the configuration file may then have
 	// a newer one.
 	List *List `json:"list,omitempty"`
--- a/internal/agent/reload.go
+++ b/internal/agent/reload.go
@@ -18,6 +18,7 @@
 	downstream *downstream.Server
 	loop       *dispatch.Loop
 	membership *membership.Membership // nil if there is none
+	handover   *stateHandover         // nil if processes don't hand over their state
 	drainTime  time.Duration          // how long a shutdown waits for open requests; see downstream.DrainTime
 }
 
@@ -45,6 +46,9 @@
 	a.replace(next)
 	a.loop.ApplyConfig(next)
 	a.loop.ForgetRejectedSettings()
+	if a.handover != nil {
+		a.handover.configReloaded(next)
+	}
 }
 
 // applyUpdate applies settings of the discovery service and sends the result on update.done.
--- a/internal/agent/state_handover.go
+++ b/internal/agent/state_handover.go
@@ -24,10 +24,15 @@
 type stateHandover struct {
 	file    *handover.File
 	log     *slog.Logger
-	loop    *dispatch.Loop // set before the first call of a method other than inherit and listChanged
-	changed chan struct{}  // has a value if the list has changed since the last save
+	loop    *dispatch.Loop // set before the first call of a method other than inherit and stateChanged
+	changed chan struct{}  // has a value if the state has changed since the last save
+	// onFileReplaced is called when the other process has read another configuration file; it may be nil.
+	onFileReplaced func()
+	otherFileSum   uint32 // of the file that the other process has read; used only by the goroutine of the lock
 
 	mu         sync.Mutex
+	discovery  handover.DiscoveryChoice
+	fileSum    uint32
 	saving     bool // this process holds the lock
 	saveFailed bool // the last save has failed
 }
@@ -36,9 +41,10 @@
 func newStateHandover(cfg *config.Config, path string) *stateHandover {
 	agent := handover.Identity{Name: cfg.Name, Listen: cfg.Listen}
 	return &stateHandover{
-		file:    handover.NewFile(path, agent, cfg.MaxHandoverBytes()),
-		log:     cfg.Logger(),
-		changed: make(chan struct{}, 1),
+		file:           handover.NewFile(path, agent, cfg.MaxHandoverBytes()),
+		log:            cfg.Logger(),
+		changed:        make(chan struct{}, 1),
+		onFileReplaced: cfg.Hooks.OnFileReplaced,
 	}
 }
 
@@ -46,6 +52,10 @@
 // there is none that can be used.
 func (h *stateHandover) inherit(cfg *config.Config, predecessorRuns bool) *config.Config {
 	state := h.load()
+	if state != nil {
+		cfg = h.inheritDiscovery(cfg, state)
+	}
+	h.setConfig(cfg)
 	if state == nil || state.List == nil {
 		return cfg
 	}
@@ -60,6 +70,32 @@
 	return cfg.WithHandedOverList(list)
 }
 
+// inheritDiscovery returns the configuration with the address of discovery that follows from what the other process
+// used.
+func (h *stateHandover) inheritDiscovery(cfg *config.Config, state *handover.State) *config.Config {
+	h.otherFileSum = state.FileSum
+	next := cfg.WithInheritedDiscovery(state.Discovery)
+	if next.Discovery != cfg.Discovery {
+		h.log.Info("discovery of the file used, which is newer than the environment", "discovery", next.Discovery,
+			"environment", next.DiscoveryChoice.Environment)
+	}
+	return next
+}
+
+// setConfig sets what is saved of the configuration in force.
+func (h *stateHandover) setConfig(cfg *config.Config) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.discovery = cfg.DiscoveryChoice
+	h.fileSum = cfg.FileSum
+}
+
+// configReloaded saves the state with a configuration that has come into force.
+func (h *stateHandover) configReloaded(cfg *config.Config) {
+	h.setConfig(cfg)
+	h.stateChanged()
+}
+
 // load returns the saved state if it is there, has changed since the last call, and can be used.
 func (h *stateHandover) load() *handover.State {
 	state, err := h.file.LoadChanged()
@@ -72,11 +108,29 @@
 
 // otherHolds implements lockObserver. It follows what the other process saves meanwhile.
 func (h *stateHandover) otherHolds() {
-	if state := h.load(); state != nil && state.List != nil {
+	state := h.load()
+	if state == nil {
+		return
+	}
+	h.followFile(state.FileSum)
+	if state.List != nil {
 		h.loop.AdoptList(state.List)
 	}
 }
 
+// followFile has the configuration file read again if the other process has read it since and found another text than
+// this process. The signal to read it may have reached that process alone.
+func (h *stateHandover) followFile(sum uint32) {
+	replaced := sum != h.otherFileSum
+	h.otherFileSum = sum
+	h.mu.Lock()
+	replaced = replaced && sum != h.fileSum
+	h.mu.Unlock()
+	if replaced && h.onFileReplaced != nil {
+		h.onFileReplaced()
+	}
+}
+
 // acquired implements lockObserver.
 func (h *stateHandover) acquired(ctx context.Context) {
 	h.otherHolds() // what the other process saved last
@@ -96,8 +150,8 @@
 	h.saving = false
 }
 
-// listChanged requests a save. It doesn't block.
-func (h *stateHandover) listChanged() {
+// stateChanged requests a save. It doesn't block.
+func (h *stateHandover) stateChanged() {
 	select {
 	case h.changed <- struct{}{}:
 	default:
@@ -135,7 +189,7 @@
 	if !h.saving {
 		return
 	}
-	err := h.file.Save(handover.State{List: list})
+	err := h.file.Save(handover.State{Discovery: h.discovery, FileSum: h.fileSum, List: list})
 	if err != nil && !h.saveFailed {
 		h.log.Warn("state not saved for the next process", "err", err)
 	}
