Ask a new discovery service for its whole list, so that no server of another one stays

Cause: the agent asked a source of which it knew no version with index=0 and took the answer for the full list. By the protocol that comes from a call without index; the project's own service answers index=0 with changes, which were then applied to the list of another service.

Evidence: the first list after the move is logged with full=false. On the commit before, TestListOfAnotherSourceReplacesTheList fails after a move and after older versions, and TestUpgradeBeforeTheMovedDiscoveryAnswers fails.

Change: without a known version the watch calls without index, and takes only a full list. That no version is known is no longer version 0, at which a new service may have an empty list (TestEmptyListAtVersionZeroIsWatched).

The stand-in answered index=0 with the full list, which hid the fault; it answers as the project's service does.

--- a/cmd/agent/handover_move_test.go
+++ b/cmd/agent/handover_move_test.go
@@ -159,6 +159,28 @@
 	a.wantOnly(t, a.servers[:2]...)
 }
 
+// A move to a service that doesn't answer yet, and an upgrade: the new process has the list of the service before, and
+// drops what the new one doesn't list as soon as that answers.
+func TestUpgradeBeforeTheMovedDiscoveryAnswers(t *testing.T) {
+	t.Parallel()
+	agent := &movingAgent{upgradedAgent: newUpgradedAgent(t)}
+	agent.environment = agent.discovery.Listener.Addr().String()
+	agent.start(t)
+	agent.drain(t, agent.servers[0])
+	agent.useNewDiscovery(t)
+	agent.discovery.SetSilent(true)
+	agent.discovery.List.Servers = []endpoint.Endpoint{agent.servers[1].Endpoint}
+	agent.useDiscoveryInFile(t)
+	agent.process.signal(t, syscall.SIGHUP)
+	agent.perform(t, upgrade)
+	agent.wantOnly(t, agent.servers[1:]...)
+	agent.discovery.SetSilent(false)
+	time.Sleep(agenttest.MaxNotifyDelay)
+	agent.wantOnly(t, agent.servers[1])
+	agent.process.signal(t, syscall.SIGTERM)
+	agent.process.expectCleanEnd(t)
+}
+
 // At a first start the environment has precedence over the file, though the file may be newer. A state that can't be
 // used makes no difference.
 func TestFirstStartUsesTheEnvironment(t *testing.T) {
--- a/internal/agent/agenttest/discovery.go
+++ b/internal/agent/agenttest/discovery.go
@@ -156,15 +156,12 @@
 	}
 }
 
-// changesSince returns the endpoints that changed after a version, or the full list if the version is 0. The caller
-// must hold d.mu.
+// changesSince returns the endpoints that changed after a version. Like the project's discovery service, it returns no
+// full list for version 0, but all changes. The caller must hold d.mu.
 func (d *Discovery) changesSince(version uint64) endpoint.List {
-	if version == 0 {
-		return endpoint.List{Version: d.List.Version, Full: true, Servers: slices.Clone(d.List.Servers)}
-	}
 	delta := endpoint.List{Version: d.List.Version}
 	for _, entry := range d.List.Servers {
-		if d.changed[entry.ID] > version {
+		if version == 0 || d.changed[entry.ID] > version {
 			delta.Servers = append(delta.Servers, entry)
 		}
 	}
--- a/internal/agent/config/config.go
+++ b/internal/agent/config/config.go
@@ -135,8 +135,8 @@
 	return &next
 }
 
-// WithInheritedDiscovery returns a copy of the configuration, which was read at a start, for a process that starts after
-// one with the given choice of the address of discovery.
+// WithInheritedDiscovery returns a copy of the configuration, which was read at a start, for a process that starts
+// after one with the given choice of the address of discovery.
 func (c *Config) WithInheritedDiscovery(before handover.DiscoveryChoice) *Config {
 	choice := before.Next(c.DiscoveryChoice.Environment, c.DiscoveryChoice.File)
 	if !isHostPort(choice.Address()) {
--- a/internal/agent/discovery/client.go
+++ b/internal/agent/discovery/client.go
@@ -45,6 +45,9 @@
 // errOlderVersion is the error of a call whose response has an older version than the one requested.
 var errOlderVersion = errors.New("discovery: response with an older version")
 
+// errNotFull is the error of a call of the full list whose response has only changes.
+var errNotFull = errors.New("discovery: response without the full list")
+
 // Client makes the calls that the policy requests and passes on their responses. A failed call ends the watch and is
 // reported to the policy as ListFailed. The policy then decides when to call again: it sets a timer with exponential
 // backoff and jitter. If changes are pushed, the policy requests no calls, and KeepWatch maintains a watch.
@@ -194,6 +197,7 @@
 	query      string // empty for the full list
 	timeout    time.Duration
 	minVersion uint64 // an older list is not accepted
+	full       bool   // only a full list is accepted
 }
 
 // get makes one call to the current address of a source. After a failure it advances the source to the next address.
@@ -206,6 +210,9 @@
 	defer context.AfterFunc(source.moved, cancel)() //nolint:contextcheck // the source's context ends this call too
 	addr, index := source.address()
 	list, err := c.request(callContext, "http://"+addr+endpoint.ListPath+call.query)
+	if err == nil && call.full && !list.Full {
+		err = errNotFull
+	}
 	if err == nil && list.Version < call.minVersion {
 		source.advance(index)
 		return nil, errOlderVersion
--- a/internal/agent/discovery/client_test.go
+++ b/internal/agent/discovery/client_test.go
@@ -66,9 +66,9 @@
 		t.Errorf("the first call is %+v, want index 41, the known version", call)
 	}
 	client.MoveTo(moved)
-	for i, want := range []string{"0", "0", "0", "3"} {
+	for i, want := range []string{"", "", "", "3"} {
 		if call := agenttest.NextCall(t, calls); call.Index != want {
-			t.Errorf("call %d has index %s, want %s", i, call.Index, want)
+			t.Errorf("call %d has index %q, want %q", i, call.Index, want)
 		}
 	}
 	for response := range responses {
--- a/internal/agent/discovery/source.go
+++ b/internal/agent/discovery/source.go
@@ -15,15 +15,18 @@
 	//nolint:containedctx // MoveTo ends the calls to the source, whoever made them
 	moved     context.Context // done once another source has replaced this one
 	markMoved context.CancelFunc
-	// version is the version of this source that the watch has reached; 0 means that the next call requests the
-	// full list. Only the watch uses it, of which there is one at a time.
+	// version is the version of this source that the watch has reached. Only the watch uses it, of which there is one at
+	// a time.
 	version uint64
+	// wantsFull means that the next call of the watch requests the full list, as no version of this source is known.
+	wantsFull bool
 	// answered is when the source last responded to a call, in nanoseconds on the monotonic clock; 0 means never.
 	answered atomic.Int64
 	// olderAnswers is the number of consecutive responses to the watch that had an older version.
 	olderAnswers int
 }
 
+// newSource returns a source of whose list a version is known; 0 if none is.
 func newSource(version uint64, addrs ...string) *Source {
 	moved, markMoved := context.WithCancel(context.Background())
 	return &Source{
@@ -31,6 +34,7 @@
 		moved:       moved,
 		markMoved:   markMoved,
 		version:     version,
+		wantsFull:   version == 0,
 	}
 }
 
@@ -47,6 +51,7 @@
 	s.olderAnswers++
 	if s.olderAnswers >= len(s.addrs) {
 		s.version = 0
+		s.wantsFull = true
 		s.olderAnswers = 0
 	}
 }
--- a/internal/agent/discovery/source_test.go
+++ b/internal/agent/discovery/source_test.go
@@ -170,8 +170,8 @@
 	})
 	mu.Lock()
 	defer mu.Unlock()
-	if want := []string{"7", "7", "7", "0", "2"}; !slices.Equal(indexes[:5], want) {
-		t.Errorf("calls have the indexes %v, want %v", indexes, want)
+	if want := []string{"7", "7", "7", "", "2"}; !slices.Equal(indexes[:5], want) {
+		t.Errorf("calls have the indexes %q, want %q", indexes, want)
 	}
 }
 
--- a/internal/agent/discovery/watch.go
+++ b/internal/agent/discovery/watch.go
@@ -4,7 +4,10 @@
 	"context"
 	"errors"
 	"fmt"
+	"strings"
 	"time"
+
+	"fernbeam.example/fernbeam/internal/endpoint"
 )
 
 // KeepWatch maintains a watch until ctx is done, and starts it again after failures.
@@ -43,6 +46,7 @@
 			return answered
 		}
 		response.Source.version = response.List.Version
+		response.Source.wantsFull = false
 		response.Source.olderAnswers = 0
 		settings := response.List.Settings
 		if settings == nil {
@@ -69,15 +73,33 @@
 	c.onResponse(response)
 }
 
+// watchQuery returns the query of a watch call for the full list or for the changes since a version.
+func (c *Client) watchQuery(version uint64, full bool) string {
+	settings := c.settingsWatch.query()
+	if full && settings == "" {
+		return ""
+	}
+	if full {
+		return "?" + strings.TrimPrefix(settings, "&")
+	}
+	return fmt.Sprintf("?%s=%d&%s=%d%s",
+		endpoint.QueryIndex, version, endpoint.QueryWait, watchWait.Milliseconds(), settings)
+}
+
 // startWatchCall starts the next watch call in a goroutine, which ends with the call.
 func (c *Client) startWatchCall(ctx context.Context) <-chan Response {
 	source := c.CurrentSource()
 	done := make(chan Response, 1)
 	version := source.version
-	response := Response{Source: source, Watch: true, Complete: version == 0, LastAnswer: source.LastAnswer()}
+	full := source.wantsFull
+	response := Response{Source: source, Watch: true, Complete: full, LastAnswer: source.LastAnswer()}
 	go func() {
-		query := fmt.Sprintf("?index=%d&wait=%d%s", version, watchWait.Milliseconds(), c.settingsWatch.query())
-		call := listCall{query: query, timeout: watchWait + callGrace, minVersion: version}
+		call := listCall{
+			query:      c.watchQuery(version, full),
+			timeout:    watchWait + callGrace,
+			minVersion: version,
+			full:       full,
+		}
 		response.List, response.Err = c.get(ctx, source, call)
 		done <- response
 	}()
--- a/internal/agent/dispatch/list_updates_test.go
+++ b/internal/agent/dispatch/list_updates_test.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -110,10 +111,10 @@
 			agenttest.NextCall(t, calls)
 			wantIndex := "50"
 			if strings.Contains(name, "older") {
-				wantIndex = "0"
+				wantIndex = "" // the full list
 			}
 			if call := agenttest.NextCall(t, calls); call.Index != wantIndex {
-				t.Errorf("next call has index %s, want %s", call.Index, wantIndex)
+				t.Errorf("next call has index %q, want %q", call.Index, wantIndex)
 			}
 			if !runInLoop(loop, func() bool {
 				server := loop.endpoints.byID["s-1"]
@@ -154,7 +155,67 @@
 	})
 	mu.Lock()
 	defer mu.Unlock()
-	if !slices.Equal(indexes[:3], []string{"50", "0", "2"}) {
-		t.Errorf("calls have indexes %v, want 50, 0, 2", indexes)
+	if !slices.Equal(indexes[:3], []string{"50", "", "2"}) {
+		t.Errorf("calls have indexes %q, want 50, none, 2", indexes)
+	}
+}
+
+// After a move, the list of the new source replaces the one of the old source, though a watch from version 0 gets only
+// changes: a server that only the old source listed is gone, and so it is when a source begins its versions anew.
+func TestListOfAnotherSourceReplacesTheList(t *testing.T) {
+	const servers = `"servers":[{"id":"s-2","addr":"127.0.0.1:2","state":"up"}]}`
+	answer := func(_ int, call agenttest.WatchCall) string {
+		switch call.Index {
+		case "":
+			return `{"version":3,"full":true,` + servers
+		case "0":
+			return `{"version":3,"full":false,` + servers
+		case "50":
+			return `{"version":3,"full":false,"servers":[]}`
+		}
+		return ""
+	}
+	for name, isMove := range map[string]bool{"moved": true, "older versions": false} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			addr, _ := agenttest.StartScriptedDiscovery(t, answer)
+			first := addr
+			if isMove {
+				first, _ = agenttest.StartScriptedDiscovery(t, func(int, agenttest.WatchCall) string { return "" })
+			}
+			loop := startWatchingLoop(t, first)
+			if isMove {
+				loop.discovery.MoveTo(addr)
+			}
+			agenttest.WaitUntil(t, "the list of the source is in force", func() bool {
+				return runInLoop(loop, func() bool { return loop.list.version == 3 })
+			})
+			ids := runInLoop(loop, func() []string { return slices.Sorted(maps.Keys(loop.endpoints.byID)) })
+			if !slices.Equal(ids, []string{"s-2"}) {
+				t.Errorf("listed servers %v, want s-2 alone", ids)
+			}
+		})
+	}
+}
+
+// A list without servers at version 0, as a new service has it, is requested once and then watched.
+func TestEmptyListAtVersionZeroIsWatched(t *testing.T) {
+	t.Parallel()
+	addr, calls := agenttest.StartScriptedDiscovery(t, func(_ int, call agenttest.WatchCall) string {
+		if call.Index == "" {
+			return `{"version":0,"full":true,"servers":[]}`
+		}
+		return ""
+	})
+	known := agenttest.NewDiscovery(t)
+	known.List.Version = 0
+	startLoop(t, known, func(cfg *config.Config) {
+		cfg.Discovery = addr
+		cfg.Settings.DiscoveryMode = balancer.DiscoveryPushed
+	})
+	for _, want := range []string{"", "0", "0"} {
+		if call := agenttest.NextCall(t, calls); call.Index != want {
+			t.Errorf("call with index %q, want %q", call.Index, want)
+		}
 	}
 }
--- a/internal/agent/handover/discovery_choice.go
+++ b/internal/agent/handover/discovery_choice.go
@@ -11,7 +11,7 @@
 	UsesFile bool `json:"uses_file"`
 }
 
-// FirstChoice returns the choice of a process that starts without a predecessor. The environment was set for this start.
+// FirstChoice returns the choice of a process that starts without a predecessor: the environment was set for it.
 func FirstChoice(environment, file string) DiscoveryChoice {
 	return DiscoveryChoice{Environment: environment, File: file, UsesFile: environment == ""}
 }
