Begin no request behind a gap, so that none sent ahead gets another request's bytes

Cause: beyond 64 KiB the agent discards what it reads ahead, and two ways led past that gap. A request whose head was buffered and whose body was not read on behind the gap; and once the buffer had space again, bytes behind the gap were appended to it.

Change: after a gap nothing is appended and only requests that are whole in the buffer are begun. Less is discarded: up to 48 KiB stay in the system's buffer, where a close is seen by poll.

Why it works: all bytes of a request come from before the gap, or there is none.

--- a/internal/agent/downstream/conn.go
+++ b/internal/agent/downstream/conn.go
@@ -68,6 +68,13 @@
 	return c.Conn.SetReadDeadline(deadline)
 }
 
+// readDeadlinePassed reports whether the reader's deadline has passed.
+func (c *clientConn) readDeadlinePassed() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return !c.readDeadline.IsZero() && !c.readDeadline.After(time.Now())
+}
+
 // wokenToClose reports whether the reader was woken to close the connection. If so, it restores the reader's own
 // deadline, because nothing can be read while the expired one is set.
 func (c *clientConn) wokenToClose() bool {
--- a/internal/agent/downstream/framed_conn.go
+++ b/internal/agent/downstream/framed_conn.go
@@ -2,8 +2,13 @@
 
 import (
 	"errors"
+	"io"
+	"net"
+	"os"
 	"sync/atomic"
 	"time"
+
+	"fernbeam.example/fernbeam/internal/agent/socket"
 )
 
 const (
@@ -11,8 +16,12 @@
 	initialReadBuffer = 1 << 10
 	// maxReadAhead is how much of later requests is read while a request is in progress, in bytes.
 	maxReadAhead = 64 << 10
-	// discardPause limits the rate at which bytes beyond maxReadAhead are read and discarded.
-	discardPause = 10 * time.Millisecond
+	// maxUnread is how much beyond that may stay in the receive buffer of the system, in bytes. The end of the connection
+	// is then noticed without reading. With more, the receive buffer may be full, and the end may not have arrived.
+	maxUnread = 48 << 10
+	// fullPause is the interval at which a connection with a full buffer is checked, and at which bytes beyond maxUnread
+	// are read and discarded.
+	fullPause = 10 * time.Millisecond
 	// A connection pauses for pacePause after each requestsPerPause requests that were already waiting.
 	requestsPerPause, pacePause = 4, time.Millisecond
 )
@@ -25,7 +34,8 @@
 // whose cost is unknown.
 //
 // While a request is in progress, what follows it is read ahead in order to notice the end of the connection, which
-// would otherwise be hidden behind unread bytes.
+// would otherwise be hidden behind unread bytes. What no longer fits is discarded, and the connection ends after the
+// last request that is complete before that gap.
 //
 // The HTTP server never reads concurrently. All fields without a lock are owned by its reader.
 type framedConn struct {
@@ -110,20 +120,44 @@
 // watch reads ahead while a request is in progress, until the connection ends or the HTTP server ends the read.
 func (c *framedConn) watch() error {
 	for {
-		err := c.fill(maxReadAhead)
-		if errors.Is(err, errBufferFull) {
-			c.discarded = true
-			err = c.discard()
-		}
+		err := c.readAhead()
 		if err != nil {
 			return err
 		}
 	}
 }
 
+// readAhead reads once more into the buffer, or waits for a moment if nothing more may follow what is in it.
+func (c *framedConn) readAhead() error {
+	if c.discarded {
+		return c.watchFull()
+	}
+	err := c.fill(maxReadAhead)
+	if errors.Is(err, errBufferFull) {
+		return c.watchFull()
+	}
+	return err
+}
+
+// watchFull watches the connection for a moment without space in the buffer.
+func (c *framedConn) watchFull() error {
+	time.Sleep(fullPause)
+	switch {
+	case c.closed.Load():
+		return net.ErrClosed
+	case c.readDeadlinePassed():
+		return os.ErrDeadlineExceeded
+	case c.peerClosed():
+		return io.EOF
+	case socket.UnreadBytes(c.Conn) <= maxUnread:
+		return nil
+	}
+	return c.discard()
+}
+
 // discard reads bytes that nobody will read.
 func (c *framedConn) discard() error {
-	time.Sleep(discardPause)
+	c.discarded = true
 	var scratch [initialReadBuffer]byte
 	_, err := c.clientConn.Read(scratch[:])
 	return err
@@ -137,6 +171,9 @@
 	}
 	for waited := false; ; waited = true {
 		size := findHeadEnd(c.buffer, c.scanned)
+		if size > 0 && c.discarded && !c.isBuffered(size) {
+			return errDiscarded
+		}
 		if size > 0 {
 			c.pace(waited)
 			return c.begin(size, waited)
@@ -155,6 +192,12 @@
 	}
 }
 
+// isBuffered reports whether the request whose head has the given size is in the buffer with its whole body.
+func (c *framedConn) isBuffered(size int) bool {
+	head := parseHead(c.buffer[:size])
+	return !head.hasUnknownBody && int64(size)+head.bodySize <= int64(len(c.buffer))
+}
+
 // pace limits the rate of requests that follow each other without a pause. Their goroutines would otherwise take turns
 // on a processor without ever waiting, and others would be served late. waited tells that the client had to be waited
 // for.
