Make two flaky tests wait for their condition, and print what the race detector reports

TestStreamedBodyAborted sent a request with the id of the one before while the loop might not have counted the end of that one's attempt; the agent may answer 502 then. It waits for the count first now. takeAllSlots might take the slot that Accept is about to acquire for the next connection, when Accept had not been called again since the last one; TestTimeInTheAcceptQueueCounts and its sibling then waited for a connection that could not be accepted. It waits until Accept holds a slot now. Both keep all their checks.

A program in a test of cmd/agent that ends with the exit code of the race detector fails the test with the detector's report, which was not kept before (TestUpgradeOnAnInheritedListener).

--- a/cmd/agent/program_test.go
+++ b/cmd/agent/program_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"regexp"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -15,8 +17,14 @@
 	"fernbeam.example/fernbeam/internal/processtest"
 )
 
-// programName is the name of the program. Its configuration file has the same name with an extension.
-const programName = "agent"
+const (
+	// programName is the name of the program. Its configuration file has the same name with an extension.
+	programName = "agent"
+	// raceExitCode is the exit code of a program in which the race detector has found a race, and raceReportStart the
+	// beginning of its report in the log.
+	raceExitCode    = 66
+	raceReportStart = "WARNING: DATA RACE"
+)
 
 // listening matches the first line of the log, which contains the addresses of the client and admin listeners.
 var listening = regexp.MustCompile(` msg=listening .* addr=(\S+) .* admin=(\S+) `)
@@ -36,6 +44,18 @@
 	err error  // the error of exec.Cmd.Wait
 }
 
+// raceReport returns the report of the race detector if it has ended the program, else "".
+func (e programEnd) raceReport() string {
+	var exit *exec.ExitError
+	if !errors.As(e.err, &exit) || exit.ExitCode() != raceExitCode {
+		return ""
+	}
+	if start := strings.Index(e.log, raceReportStart); start >= 0 {
+		return e.log[start:]
+	}
+	return e.log // it may begin in lines that the test has read
+}
+
 // newProgram prepares a program with the given configuration file but doesn't start it.
 func newProgram(t *testing.T, config []byte) *program {
 	t.Helper()
@@ -131,6 +151,9 @@
 	t.Helper()
 	select {
 	case end := <-p.ended:
+		if report := end.raceReport(); report != "" {
+			t.Errorf("the race detector reports:\n%s", report)
+		}
 		return end
 	case <-time.After(testTimeout):
 		t.Fatal("the program did not end in time")
--- a/internal/agent/request_body_test.go
+++ b/internal/agent/request_body_test.go
@@ -154,12 +154,12 @@
 	if server.Count() != 0 {
 		t.Errorf("server received %d complete requests, want none", server.Count())
 	}
-	agent.wantOrderStatus(http.StatusOK)
 	endedAttempts := func() int {
 		attempts := agent.metricsNow().Attempts
 		return attempts[balancer.StatusCancelled] + attempts[balancer.StatusUnsent]
 	}
 	agenttest.WaitUntil(t, "the event loop has counted the end of the attempt", func() bool { return endedAttempts() > 0 })
+	agent.wantOrderStatus(http.StatusOK) // it has the same id
 	if metrics := agent.metricsNow(); endedAttempts() != 1 || metrics.Violations+metrics.Backstops > 0 {
 		t.Errorf("metrics %+v, want 1 ended attempt, no violation and no backstop", metrics)
 	}
--- a/internal/agent/shutdown_test.go
+++ b/internal/agent/shutdown_test.go
@@ -25,17 +25,21 @@
 	silentConnLimit = 2100 * time.Millisecond
 )
 
-// takeAllSlots takes all connection slots for clients until release is called, except for the slot that Accept already
-// holds.
+// takeAllSlots takes all connection slots for clients until release is called, except for the one that Accept holds for
+// the next connection. It waits until Accept has been called again after the last one.
 func takeAllSlots(t *testing.T, agent *testAgent) (release func()) {
 	t.Helper()
 	agent.waitNoClients(t) // otherwise the connection of waitReady would release a slot later
 	slots := agent.downstream.ConnSlots()
-	taken := int64(0)
-	for slots.TryAcquire(1) {
-		taken++
-	}
-	return func() { slots.Release(taken) }
+	othersSlots := slots.Size - 1
+	agenttest.WaitUntil(t, "Accept holds a slot", func() bool {
+		if !slots.TryAcquire(slots.Size) {
+			return slots.TryAcquire(othersSlots)
+		}
+		slots.Release(slots.Size)
+		return false
+	})
+	return func() { slots.Release(othersSlots) }
 }
 
 // A request on a connection that is in the accept queue when the shutdown closes the listener must get a response, even
