Repeat a failed save of the state, and log an unusable one once

A save may fail for a lack of descriptors or space that passes; the file is gone then, and was written again only after a change or a minute. A process that waits beside one of another agent, with the same $TMPDIR, logged a line for each state of that one; it logs the first of several now. The list is no longer sorted for the file, which has no order, so that the event loop is held up less.

--- a/internal/agent/config/limits.go
+++ b/internal/agent/config/limits.go
@@ -11,7 +11,7 @@
 	minSockets = 64
 	// fixedSockets is the number of descriptors that a process always needs: three for the standard streams, two for the
 	// network poller, two for its listeners, one for the lock, four for calls to discovery, one for the file read at a
-	// reload, and one for a connection that is accepted before another is closed.
+	// reload or the saved state, and one for a connection that is accepted before another is closed.
 	fixedSockets = 14
 	// maxAdminConns is the maximum number of admin connections, however large the reserve of descriptors is.
 	maxAdminConns = 24
--- a/internal/agent/dispatch/endpoint_list.go
+++ b/internal/agent/dispatch/endpoint_list.go
@@ -1,9 +1,6 @@
 package dispatch
 
 import (
-	"slices"
-	"strings"
-
 	"fernbeam.example/fernbeam/internal/agent/keyhash"
 	"fernbeam.example/fernbeam/internal/agent/upstream"
 	"fernbeam.example/fernbeam/internal/balancer"
@@ -166,7 +163,7 @@
 	}
 }
 
-// entries returns the entries of all listed servers, ordered by id.
+// entries returns the entries of all listed servers.
 func (l *endpointList) entries() []endpoint.Endpoint {
 	entries := make([]endpoint.Endpoint, 0, len(l.byID))
 	for _, server := range l.byID {
@@ -177,7 +174,6 @@
 		entry.Addr = server.addr // a later entry may have none
 		entries = append(entries, entry)
 	}
-	slices.SortFunc(entries, func(a, b endpoint.Endpoint) int { return strings.Compare(a.ID, b.ID) })
 	return entries
 }
 
--- a/internal/agent/state_handover.go
+++ b/internal/agent/state_handover.go
@@ -28,7 +28,10 @@
 	changed chan struct{}  // has a value if the state has changed since the last save
 	// onFileReplaced is called when the other process has read another configuration file; it may be nil.
 	onFileReplaced func()
-	otherFileSum   uint32 // of the file that the other process has read; used only by the goroutine of the lock
+	// otherFileSum is the checksum of the file that the other process has read, and loadFailed is set if the last state
+	// could not be used. Only the goroutine of the lock uses them after the start.
+	otherFileSum uint32
+	loadFailed   bool
 
 	mu         sync.Mutex
 	discovery  handover.DiscoveryChoice
@@ -96,13 +99,14 @@
 	h.stateChanged()
 }
 
-// load returns the saved state if it is there, has changed since the last call, and can be used.
+// load returns the saved state if it is there, has changed since the last call, and can be used. The first of several
+// failures is logged.
 func (h *stateHandover) load() *handover.State {
 	state, err := h.file.LoadChanged()
-	if err != nil {
+	if err != nil && !h.loadFailed {
 		h.log.Warn("handed-over state not used", "err", err)
-		return nil
 	}
+	h.loadFailed = err != nil
 	return state
 }
 
@@ -178,7 +182,8 @@
 	}
 }
 
-// save saves the state if this process holds the lock and its loop runs. The first of several failures is logged.
+// save saves the state if this process holds the lock and its loop runs. The first of several failures is logged, and
+// each is followed by another save, as it may have been for a lack of descriptors or of space.
 func (h *stateHandover) save() {
 	list, ok := h.loop.HandoverList()
 	if !ok {
@@ -194,4 +199,7 @@
 		h.log.Warn("state not saved for the next process", "err", err)
 	}
 	h.saveFailed = err != nil
+	if err != nil {
+		h.stateChanged()
+	}
 }
