Ask for the whole list where the file's list may be from another discovery service

What callers saw: after a move, a removal and an upgrade within a second, the new process sent requests to the removed server.

Cause: the state that was handed over had no list yet, as the first save comes before discovery's first answer and the next came a second later. The new process began with the list of the file, which was from the service before the move, and used its version at the new one.

Change: where file and environment have different addresses, the list of the file may be from either service, and the first call asks for the whole list. The first saves follow each other without a pause.

--- a/cmd/agent/handover_move_test.go
+++ b/cmd/agent/handover_move_test.go
@@ -181,6 +181,22 @@
 	agent.process.expectCleanEnd(t)
 }
 
+// The list of a file whose address of discovery is not the one that is called may be from another service: a server that
+// only the file lists is gone once discovery has answered, though the versions seem to fit.
+func TestListOfTheFileFromAnotherAddressIsReplaced(t *testing.T) {
+	t.Parallel()
+	agent := &movingAgent{upgradedAgent: newUpgradedAgent(t)}
+	agent.environment = agent.discovery.Listener.Addr().String()
+	agent.config.Discovery = silentDiscovery(t)
+	agent.discovery.List.Version = 50
+	agent.discovery.List.Servers = agent.discovery.List.Servers[:2]
+	agent.start(t)
+	agent.discovery.WaitNotified(t, agent.servers[0].Endpoint)
+	agent.wantOnly(t, agent.servers[:2]...)
+	agent.process.signal(t, syscall.SIGTERM)
+	agent.process.expectCleanEnd(t)
+}
+
 // At a first start the environment has precedence over the file, though the file may be newer. A state that can't be
 // used makes no difference.
 func TestFirstStartUsesTheEnvironment(t *testing.T) {
--- a/cmd/agent/handover_test.go
+++ b/cmd/agent/handover_test.go
@@ -75,12 +75,18 @@
 func (a *upgradedAgent) upgrade(t *testing.T, before *program, signal syscall.Signal) *program {
 	t.Helper()
 	after := a.startProcess(t)
+	a.endProcess(t, before, signal)
+	return after
+}
+
+// endProcess ends a process beside which another one runs. A kill comes no sooner than the platform may send it.
+func (a *upgradedAgent) endProcess(t *testing.T, p *program, signal syscall.Signal) {
+	t.Helper()
 	if signal == syscall.SIGKILL {
 		time.Sleep(timeBeforeKill)
 	}
-	before.signal(t, signal)
-	before.awaitEnd(t)
-	return after
+	p.signal(t, signal)
+	p.awaitEnd(t)
 }
 
 // drain lists a server as draining and returns once the agent knows it.
--- a/cmd/agent/soak_test.go
+++ b/cmd/agent/soak_test.go
@@ -39,12 +39,12 @@
 	maxSharedRun = time.Second
 )
 
-// soakSeeds returns the number of seeds of a soak.
-func soakSeeds() uint64 {
+// soakSeeds returns the number of seeds of a soak, which is defaultSeeds unless the environment sets it.
+func soakSeeds(defaultSeeds uint64) uint64 {
 	if seeds, err := strconv.ParseUint(os.Getenv(soakSeedsVariable), 10, 32); err == nil {
 		return seeds
 	}
-	return defaultSoakSeeds
+	return defaultSeeds
 }
 
 // Through series of signals and upgrades, in some runs beside a crowd, no request is lost, none executes twice, and no
@@ -54,7 +54,7 @@
 func TestSoakOfSignals(t *testing.T) {
 	binary := buildAgent(t)
 	running := make(chan struct{}, parallelCrowds)
-	for seed := range soakSeeds() {
+	for seed := range soakSeeds(defaultSoakSeeds) {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
 			t.Parallel()
 			running <- struct{}{}
--- a/internal/agent/config/config.go
+++ b/internal/agent/config/config.go
@@ -34,8 +34,7 @@
 	Sockets   int // maximum number of file descriptors of the process
 	// InitialList is the endpoint list in force until discovery has responded.
 	InitialList endpoint.List
-	// InitialListOrigin is the origin of InitialList if another process has handed it over, else nil: the list of the file
-	// is taken to be from the configured addresses of discovery.
+	// InitialListOrigin is the origin of InitialList if another process has handed it over, else nil.
 	InitialListOrigin *handover.Origin
 	Settings          balancer.Settings
 	// Membership is the configuration of the membership view that the agents keep; nil if they keep none.
@@ -135,6 +134,20 @@
 	return &next
 }
 
+// InitialListVersion returns the version of the initial list at the configured addresses of discovery, or 0 if the list
+// may be from another service, whose versions mean nothing to this one. The list of the file is taken to be from the
+// address that both the file and the environment have.
+func (c *Config) InitialListVersion() uint64 {
+	known := c.DiscoveryChoice.HasOneAddress()
+	if c.InitialListOrigin != nil {
+		known = c.InitialListOrigin.IsFrom(c.DiscoveryAddresses())
+	}
+	if !known {
+		return 0
+	}
+	return c.InitialList.Version
+}
+
 // WithInheritedDiscovery returns a copy of the configuration, which was read at a start, for a process that starts
 // after one with the given choice of the address of discovery.
 func (c *Config) WithInheritedDiscovery(before handover.DiscoveryChoice) *Config {
--- a/internal/agent/discovery/client.go
+++ b/internal/agent/discovery/client.go
@@ -102,7 +102,7 @@
 // service that the section names.
 func New(cfg *config.Config, options Options) *Client {
 	c := &Client{
-		source:     newSource(initialVersion(cfg), cfg.Discovery),
+		source:     newSource(cfg.InitialListVersion(), cfg.Discovery),
 		limit:      rate.NewLimiter(maxCallsPerSecond, maxCallBurst),
 		localAddr:  cfg.DiscoveryLocalIP,
 		clock:      options.Clock,
@@ -121,22 +121,13 @@
 	}
 	c.name = cfg.Name
 	c.backoff = newFailoverBackoff()
-	c.source = newSource(initialVersion(cfg), orderAddresses(cfg.DiscoveryAddresses(), c.name)...)
+	c.source = newSource(cfg.InitialListVersion(), orderAddresses(cfg.DiscoveryAddresses(), c.name)...)
 	if cfg.Control.Service != "" {
 		c.settingsWatch = &settingsWatch{service: cfg.Control.Service, agent: cfg.Name, apply: options.ApplySettings}
 	}
 	return c
 }
 
-// initialVersion returns the version from which the first watch starts: that of the initial list, or 0 if that list is
-// from another discovery service, whose versions mean nothing to this one.
-func initialVersion(cfg *config.Config) uint64 {
-	if origin := cfg.InitialListOrigin; origin != nil && !origin.IsFrom(cfg.DiscoveryAddresses()) {
-		return 0
-	}
-	return cfg.InitialList.Version
-}
-
 // Close closes all connections. Open and later calls fail.
 func (c *Client) Close() {
 	c.mu.Lock()
--- a/internal/agent/handover/discovery_choice.go
+++ b/internal/agent/handover/discovery_choice.go
@@ -37,6 +37,11 @@
 	return DiscoveryChoice{Environment: c.Environment, File: file, UsesFile: true}
 }
 
+// HasOneAddress reports whether the environment and the file have the same address, or only one of them has any.
+func (c DiscoveryChoice) HasOneAddress() bool {
+	return c.Environment == "" || c.File == "" || c.Environment == c.File
+}
+
 // Address returns the address in use.
 func (c DiscoveryChoice) Address() string {
 	if c.UsesFile {
--- a/internal/agent/state_handover.go
+++ b/internal/agent/state_handover.go
@@ -6,14 +6,18 @@
 	"sync"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"fernbeam.example/fernbeam/internal/agent/config"
 	"fernbeam.example/fernbeam/internal/agent/dispatch"
 	"fernbeam.example/fernbeam/internal/agent/handover"
 )
 
 const (
-	// minSaveInterval is the minimum time between two saves.
+	// minSaveInterval is the minimum mean time between two saves, and saveBurst the number of saves that may follow each
+	// other without a pause, as those of the start and of the first answer of discovery.
 	minSaveInterval = time.Second
+	saveBurst       = 3
 	// refreshInterval is how often the state is saved without a change, which renews the time at which discovery last
 	// answered. It is well below handover.MaxListAge.
 	refreshInterval = time.Minute
@@ -166,14 +170,10 @@
 func (h *stateHandover) keepSaved(ctx context.Context) {
 	refresh := time.NewTicker(refreshInterval)
 	defer refresh.Stop()
-	for {
+	limit := rate.NewLimiter(rate.Every(minSaveInterval), saveBurst)
+	for limit.Wait(ctx) == nil {
 		h.save()
 		select {
-		case <-time.After(minSaveInterval):
-		case <-ctx.Done():
-			return
-		}
-		select {
 		case <-h.changed:
 		case <-refresh.C:
 		case <-ctx.Done():
