--- a/cmd/agent/handover_move_test.go
+++ b/cmd/agent/handover_move_test.go
@@ -181,8 +181,8 @@
 	agent.process.expectCleanEnd(t)
 }
 
-// The list of a file whose address of discovery is not the one that is called may be from another service: a server that
-// only the file lists is gone once discovery has answered, though the versions seem to fit.
+// The list of a file whose address of discovery is not the one that is called may be from another service: a server
+// that only the file lists is gone once discovery has answered, though the versions seem to fit.
 func TestListOfTheFileFromAnotherAddressIsReplaced(t *testing.T) {
 	t.Parallel()
 	agent := &movingAgent{upgradedAgent: newUpgradedAgent(t)}
