Test handed-over lists that are too old, and starts after the process before has ended

Cause: the age of a list was tested in its package alone, and a start without an overlap not at all. Change: tests only; the cases of TestUnusableHandoverIsIgnored stay as they were, one comes in addition.

--- a/cmd/agent/handover_test.go
+++ b/cmd/agent/handover_test.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"fernbeam.example/fernbeam/internal/agent/agenttest"
+	"fernbeam.example/fernbeam/internal/agent/handover"
 	"fernbeam.example/fernbeam/internal/balancer"
 	"fernbeam.example/fernbeam/internal/endpoint"
 )
@@ -214,12 +215,13 @@
 // A state that can't be used is logged with one line and ignored: the start goes on with the list of the configuration.
 func TestUnusableHandoverIsIgnored(t *testing.T) {
 	unusable := regexp.MustCompile(`msg="handed-over (state|endpoint list) not used" err=.*`)
-	for name, change := range map[string]func(string) string{
-		"truncated":    func(text string) string { return text[:len(text)/2] },
-		"empty":        func(string) string { return "" },
-		"foreign":      func(text string) string { return strings.Replace(text, `"n1"`, `"n2"`, 1) },
-		"other format": func(text string) string { return strings.Replace(text, "handover 1", "handover 9", 1) },
-		"nonsense":     func(string) string { return "nonsense\x00\xff" },
+	for name, spoil := range map[string]func(*upgradedAgent, *testing.T){
+		"truncated":    rewriteState(func(text string) string { return text[:len(text)/2] }),
+		"empty":        rewriteState(func(string) string { return "" }),
+		"foreign":      rewriteState(func(text string) string { return strings.Replace(text, `"n1"`, `"n2"`, 1) }),
+		"other format": rewriteState(func(text string) string { return strings.Replace(text, "handover 1", "handover 9", 1) }),
+		"nonsense":     rewriteState(func(string) string { return "nonsense\x00\xff" }),
+		"old":          (*upgradedAgent).saveOldList,
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
@@ -229,13 +231,7 @@
 			agent.discovery.SetSilent(true)
 			process.signal(t, syscall.SIGTERM)
 			process.expectCleanEnd(t)
-			text, err := os.ReadFile(agent.handoverPath())
-			if err != nil {
-				t.Fatal(err)
-			}
-			if err := os.WriteFile(agent.handoverPath(), []byte(change(string(text))), 0o600); err != nil {
-				t.Fatal(err)
-			}
+			spoil(agent, t)
 			process = agent.startProcess(t)
 			agent.wantOnly(t, agent.servers...)
 			process.signal(t, syscall.SIGTERM)
@@ -247,6 +243,53 @@
 	}
 }
 
+// rewriteState returns a function that changes the text of an agent's saved state.
+func rewriteState(change func(string) string) func(*upgradedAgent, *testing.T) {
+	return func(a *upgradedAgent, t *testing.T) {
+		t.Helper()
+		text, err := os.ReadFile(a.handoverPath())
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := os.WriteFile(a.handoverPath(), []byte(change(string(text))), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
+// saveOldList makes the saved list one that discovery has confirmed too long ago for a process that has ended.
+func (a *upgradedAgent) saveOldList(t *testing.T) {
+	t.Helper()
+	identity := handover.Identity{Name: a.config.Name, Listen: a.config.Listen}
+	file := handover.NewFile(a.handoverPath(), identity, a.config.Limits.MemoryMB*bytesPerMB)
+	state, err := file.Load()
+	if err != nil || state == nil || state.List == nil {
+		t.Fatalf("the saved state is %+v, with error %v", state, err)
+	}
+	state.List.ConfirmedMs -= (handover.MaxListAge + time.Minute).Milliseconds()
+	if err := file.Save(*state); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// A process that starts after the one before it has ended, by itself or by a kill, has its list too.
+func TestStartAfterTheProcessBeforeHasEnded(t *testing.T) {
+	for _, signal := range []syscall.Signal{syscall.SIGTERM, syscall.SIGKILL} {
+		t.Run(signal.String(), func(t *testing.T) {
+			t.Parallel()
+			agent := newUpgradedAgent(t)
+			process := agent.startProcess(t)
+			agent.drain(t, agent.servers[2])
+			agent.discovery.SetSilent(true)
+			agent.endProcess(t, process, signal)
+			process = agent.startProcess(t)
+			agent.wantOnly(t, agent.servers[:2]...)
+			process.signal(t, syscall.SIGTERM)
+			process.expectCleanEnd(t)
+		})
+	}
+}
+
 // A directory in which nothing can be written costs one line in the log, and no request.
 func TestUnwritableHandoverIsIgnored(t *testing.T) {
 	t.Parallel()
