--- a/cmd/agent/handover_test.go
+++ b/cmd/agent/handover_test.go
@@ -215,13 +215,13 @@
 // A state that can't be used is logged with one line and ignored: the start goes on with the list of the configuration.
 func TestUnusableHandoverIsIgnored(t *testing.T) {
 	unusable := regexp.MustCompile(`msg="handed-over (state|endpoint list) not used" err=.*`)
-	for name, spoil := range map[string]func(*upgradedAgent, *testing.T){
+	for name, spoil := range map[string]func(*testing.T, *upgradedAgent){
 		"truncated":    rewriteState(func(text string) string { return text[:len(text)/2] }),
 		"empty":        rewriteState(func(string) string { return "" }),
-		"foreign":      rewriteState(func(text string) string { return strings.Replace(text, `"n1"`, `"n2"`, 1) }),
-		"other format": rewriteState(func(text string) string { return strings.Replace(text, "handover 1", "handover 9", 1) }),
+		"foreign":      rewriteState(strings.NewReplacer(`"n1"`, `"n2"`).Replace),
+		"other format": rewriteState(strings.NewReplacer("handover 1", "handover 9").Replace),
 		"nonsense":     rewriteState(func(string) string { return "nonsense\x00\xff" }),
-		"old":          (*upgradedAgent).saveOldList,
+		"old":          saveOldList,
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
@@ -231,7 +231,7 @@
 			agent.discovery.SetSilent(true)
 			process.signal(t, syscall.SIGTERM)
 			process.expectCleanEnd(t)
-			spoil(agent, t)
+			spoil(t, agent)
 			process = agent.startProcess(t)
 			agent.wantOnly(t, agent.servers...)
 			process.signal(t, syscall.SIGTERM)
@@ -244,8 +244,8 @@
 }
 
 // rewriteState returns a function that changes the text of an agent's saved state.
-func rewriteState(change func(string) string) func(*upgradedAgent, *testing.T) {
-	return func(a *upgradedAgent, t *testing.T) {
+func rewriteState(change func(string) string) func(*testing.T, *upgradedAgent) {
+	return func(t *testing.T, a *upgradedAgent) {
 		t.Helper()
 		text, err := os.ReadFile(a.handoverPath())
 		if err != nil {
@@ -258,7 +258,7 @@
 }
 
 // saveOldList makes the saved list one that discovery has confirmed too long ago for a process that has ended.
-func (a *upgradedAgent) saveOldList(t *testing.T) {
+func saveOldList(t *testing.T, a *upgradedAgent) {
 	t.Helper()
 	identity := handover.Identity{Name: a.config.Name, Listen: a.config.Listen}
 	file := handover.NewFile(a.handoverPath(), identity, a.config.Limits.MemoryMB*bytesPerMB)
